--- /dev/null
+++ b/include/verbenahold/messages.hpp
@@ -0,0 +1,366 @@
+// Messages between daemons as plain values. Times are remaining durations,
+// never absolute. `src/io/message_codec` gives them their protobuf form.
+#pragma once
+
+#include "verbenahold/records.hpp"
+#include "verbenahold/types.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace verbenahold {
+
+// ---- membership
+
+enum class member_state : std::uint8_t { alive, suspect, leaving, dead };
+
+// What one daemon says of another; the higher refutation, then the worse
+// state, wins.
+struct member_update {
+    daemon_id daemon;
+    zone_name zone;
+    endpoint peer_endpoint;
+    endpoint caller_endpoint;
+    member_state state = member_state::alive;
+    std::uint32_t refutation = 0;
+
+    bool operator==(const member_update&) const = default;
+};
+
+// A strike against a request fingerprint, spread with membership gossip.
+struct crash_strike {
+    std::uint64_t fingerprint = 0;
+    std::uint8_t strikes = 0;
+    duration expires_in{};
+
+    bool operator==(const crash_strike&) const = default;
+};
+
+// What rides on each probe and ack.
+struct gossip_payload {
+    std::uint64_t config_version = 0;
+    // True when the sender has confirmed that version within the last 5 s.
+    bool config_confirmed = false;
+    std::uint8_t oldest_schema = 1;
+    std::uint8_t newest_schema = 1;
+    std::vector<member_update> updates;
+    std::vector<crash_strike> strikes;
+
+    bool operator==(const gossip_payload&) const = default;
+};
+
+struct probe {
+    std::uint64_t sequence = 0;
+    gossip_payload gossip;
+    bool operator==(const probe&) const = default;
+};
+
+struct probe_ack {
+    std::uint64_t sequence = 0;
+    gossip_payload gossip;
+    bool operator==(const probe_ack&) const = default;
+};
+
+// Asks the receiver to probe `target` and to pass its ack on.
+struct probe_request {
+    std::uint64_t sequence = 0;
+    daemon_id target;
+    bool operator==(const probe_request&) const = default;
+};
+
+// The sender takes no new work and will end once its requests have.
+struct leave {
+    bool operator==(const leave&) const = default;
+};
+
+// ---- headroom and ownership
+
+// What one owner can still take for one service in one zone, over all servers
+// it owns there. Tokens are prompt tokens.
+struct headroom {
+    service_name service;
+    zone_name zone;
+    std::uint16_t servers = 0;
+    std::uint16_t in_flight = 0;
+    // Requests that could start now.
+    std::uint16_t free_slots = 0;
+    std::int64_t free_short_tokens = 0;
+    std::int64_t free_long_tokens = 0;
+    // Free KV memory of the emptiest server.
+    std::int64_t largest_free_kv_tokens = 0;
+    // Predicted wait of a new short and a new long request.
+    duration short_wait{};
+    duration long_wait{};
+
+    bool operator==(const headroom&) const = default;
+};
+
+struct owner_summary {
+    // Grows with each summary of one daemon incarnation.
+    std::uint64_t sequence = 0;
+    std::vector<headroom> entries;
+    bool operator==(const owner_summary&) const = default;
+};
+
+// The sender no longer sends work to these servers.
+struct release_servers {
+    std::vector<server_name> servers;
+    bool operator==(const release_servers&) const = default;
+};
+
+// ---- requests
+
+enum class call_kind : std::uint8_t { completion, plain };
+enum class length_class : std::uint8_t { short_prompt, medium_prompt, long_prompt, very_long_prompt };
+
+// A share of a very long prompt's KV cache on one server.
+struct memory_part {
+    server_name server;
+    std::string reservation;
+    std::int64_t tokens = 0;
+    bool operator==(const memory_part&) const = default;
+};
+
+// A request on its way to the owner of a server.
+struct submit {
+    attempt_id attempt;
+    call_kind kind = call_kind::completion;
+    service_name service;
+    account_name account;
+    double account_weight = 1;
+    // Server that the caller side would like, from its prefix index.
+    std::optional<server_name> preferred_server;
+    // The prompt of a completion or the body of a plain call.
+    shared_text body;
+    std::string method;
+    std::string path;
+    std::string content_type;
+    std::string idempotency_key;
+    bool idempotent = true;
+    std::int64_t prompt_tokens = 0;
+    std::int64_t uncached_tokens = 0;
+    std::int64_t max_tokens = 0;
+    std::int64_t predicted_output_tokens = 0;
+    length_class length = length_class::short_prompt;
+    // Hash of the prompt at each multiple of prefix_block_tokens.
+    std::vector<std::uint64_t> prefix_hashes;
+    std::uint64_t fingerprint = 0;
+    // Must run with no other request on its server.
+    bool run_alone = false;
+    // Tokens of earlier attempts; generation goes on after them.
+    std::vector<std::string> generated;
+    // Parts of KV memory reserved for this attempt on other servers.
+    std::vector<memory_part> parts;
+    duration time_left{};
+    std::string traceparent;
+};
+
+enum class bounce_reason : std::uint8_t {
+    not_owner,
+    no_headroom,
+    deadline_too_short,
+    zone_out,
+    draining,
+    configuration_unconfirmed,
+    tombstoned,
+    held_as_crashing,
+};
+
+// The attempt did not run here and never will.
+struct submit_bounced {
+    attempt_id attempt;
+    bounce_reason reason = bounce_reason::no_headroom;
+    owner_summary summary;
+    bool operator==(const submit_bounced&) const = default;
+};
+
+// The attempt is queued or running; the server is empty while it is queued.
+struct submit_accepted {
+    attempt_id attempt;
+    server_name server;
+    owner_summary summary;
+    bool operator==(const submit_accepted&) const = default;
+};
+
+struct attempt_tokens {
+    attempt_id attempt;
+    std::uint64_t first_index = 0;
+    std::vector<std::string> tokens;
+    bool operator==(const attempt_tokens&) const = default;
+};
+
+// The end of a completion. The count and the checksum cover all tokens of the
+// answer, also those of earlier attempts.
+struct attempt_finished {
+    attempt_id attempt;
+    std::uint64_t token_count = 0;
+    std::uint64_t checksum = 0;
+    std::string finish_reason;
+    std::int64_t cached_tokens = 0;
+    server_name server;
+    owner_summary summary;
+    bool operator==(const attempt_finished&) const = default;
+};
+
+// The whole answer of a plain call.
+struct attempt_replied {
+    attempt_id attempt;
+    int status = 0;
+    std::string content_type;
+    std::string body;
+    bool operator==(const attempt_replied&) const = default;
+};
+
+enum class attempt_failure : std::uint8_t {
+    server_died,
+    server_refused,
+    deadline_passed,
+    canceled,
+    owner_stopping,
+    part_lost,
+    bad_request,
+};
+
+struct attempt_failed {
+    attempt_id attempt;
+    attempt_failure reason = attempt_failure::server_died;
+    ran_state ran = ran_state::unknown;
+    // Strikes now held against the request's fingerprint.
+    std::uint8_t strikes = 0;
+    std::string message;
+    owner_summary summary;
+    bool operator==(const attempt_failed&) const = default;
+};
+
+struct cancel_attempt {
+    attempt_id attempt;
+    bool operator==(const cancel_attempt&) const = default;
+};
+
+// Asks the owner for what the caller side lacks from index `have_tokens` on.
+struct attempt_query {
+    attempt_id attempt;
+    std::uint64_t have_tokens = 0;
+    bool operator==(const attempt_query&) const = default;
+};
+
+enum class attempt_state : std::uint8_t { unknown, queued, running };
+
+// Answer to a query that tokens or an end did not answer. After `unknown` the
+// owner bounces any later submit of that attempt.
+struct attempt_status {
+    attempt_id attempt;
+    attempt_state state = attempt_state::unknown;
+    bool operator==(const attempt_status&) const = default;
+};
+
+// ---- very long prompts
+
+struct reserve_part {
+    attempt_id attempt;
+    server_name server;
+    std::string reservation;
+    std::int64_t tokens = 0;
+    duration expires_in{};
+    bool operator==(const reserve_part&) const = default;
+};
+
+struct part_answer {
+    attempt_id attempt;
+    server_name server;
+    std::string reservation;
+    bool granted = false;
+    bool operator==(const part_answer&) const = default;
+};
+
+// Keeps a part until the attempt ends instead of until it expires.
+struct confirm_part {
+    attempt_id attempt;
+    server_name server;
+    std::string reservation;
+    bool operator==(const confirm_part&) const = default;
+};
+
+struct release_part {
+    attempt_id attempt;
+    server_name server;
+    std::string reservation;
+    bool operator==(const release_part&) const = default;
+};
+
+// ---- keyed calls
+
+// A non-idempotent call on its way to the only daemon that may run it.
+struct keyed_call {
+    std::string key;
+    service_name service;
+    account_name account;
+    std::string method;
+    std::string path;
+    std::string content_type;
+    shared_text body;
+    duration time_left{};
+    std::string traceparent;
+};
+
+struct keyed_reply {
+    std::string key;
+    account_name account;
+    // False: a refusal of the system, with error_code; true: the reply of the
+    // service.
+    bool replied = false;
+    int status = 0;
+    std::string content_type;
+    std::string body;
+    std::string error_code;
+    ran_state ran = ran_state::unknown;
+    bool operator==(const keyed_reply&) const = default;
+};
+
+// ---- configuration
+
+struct config_fetch {
+    std::uint64_t have_version = 0;
+    bool operator==(const config_fetch&) const = default;
+};
+
+// Changes after `from_version` up to `to_version`; with `whole` set, all
+// records at to_version.
+struct config_delta {
+    std::uint64_t from_version = 0;
+    std::uint64_t to_version = 0;
+    bool whole = false;
+    std::vector<config_change> changes;
+    bool operator==(const config_delta&) const = default;
+};
+
+// ---- account limits
+
+struct account_demand {
+    account_name account;
+    double tokens_per_second = 0;
+    bool operator==(const account_demand&) const = default;
+};
+
+struct demand_report {
+    std::vector<account_demand> demands;
+    bool operator==(const demand_report&) const = default;
+};
+
+// Share of each account's limit, from 0 to 1, granted for `valid_for`.
+struct share_grant {
+    std::vector<account_demand> shares;
+    duration valid_for{};
+    bool operator==(const share_grant&) const = default;
+};
+
+using peer_message =
+    std::variant<probe, probe_ack, probe_request, leave, owner_summary, release_servers, submit, submit_bounced,
+                 submit_accepted, attempt_tokens, attempt_finished, attempt_replied, attempt_failed, cancel_attempt,
+                 attempt_query, attempt_status, reserve_part, part_answer, confirm_part, release_part, keyed_call,
+                 keyed_reply, config_fetch, config_delta, demand_report, share_grant>;
+
+}  // namespace verbenahold
--- /dev/null
+++ b/src/core/backend_server.hpp
@@ -0,0 +1,18 @@
+// What the core knows of a backend server from the host list.
+#pragma once
+
+#include "verbenahold/types.hpp"
+
+namespace verbenahold {
+
+struct backend_server {
+    server_name name;
+    zone_name zone;
+    service_name service;
+    endpoint address;
+    bool leaving = false;
+
+    bool operator==(const backend_server&) const = default;
+};
+
+}  // namespace verbenahold
--- /dev/null
+++ b/src/io/timer_service.hpp
@@ -0,0 +1,52 @@
+// One timer for a whole process. Parts subscribe with a period or a delay and
+// are called on the event loop's thread.
+#pragma once
+
+#include <QElapsedTimer>
+#include <QObject>
+#include <QTimer>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+
+#include "verbenahold/types.hpp"
+
+namespace verbenahold {
+
+class timer_service : public QObject {
+public:
+    using callback = std::function<void()>;
+    using subscription = std::uint64_t;
+
+    explicit timer_service(QObject* parent = nullptr);
+
+    // Time since this service was made, by the monotonic clock.
+    [[nodiscard]] time_point now() const;
+    // Calls `action` each `period` until unsubscribed.
+    subscription every(duration period, callback action);
+    // Calls `action` once after `delay`.
+    subscription after(duration delay, callback action);
+    // Does nothing for a subscription that has ended.
+    void unsubscribe(subscription which);
+
+private:
+    struct entry {
+        callback action;
+        duration period{};
+        time_point due{};
+    };
+
+    void arm();
+    void run_due();
+    subscription add(duration delay, duration period, callback action);
+
+    QElapsedTimer m_clock;
+    QTimer m_timer;
+    subscription m_last = 0;
+    std::map<subscription, entry> m_entries;
+    std::multimap<time_point, subscription> m_queue;
+};
+
+}  // namespace verbenahold
--- /dev/null
+++ b/test/correctness/core_types.cpp
@@ -0,0 +1,15 @@
+// Guards the text form of attempt ids: sweeps read the creator of an engine
+// stream from it.
+#include "verbenahold/entry_core.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <iostream>
+
+using namespace verbenahold;
+
+TEST_CASE("attempt ids have a text form with host and incarnation") {
+    const attempt_id attempt{{{host_name("entry-1"), 42}, 7}, 2};
+    CHECK(to_string(attempt) == "entry-1.42.7.2");
+    std::cout << "attempt id text form: passed\n";
+}
