--- /dev/null
+++ b/src/core/account_limits.cpp
@@ -0,0 +1,223 @@
+#include "account_limits.hpp"
+
+#include "rendezvous.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <utility>
+
+namespace verbenahold {
+
+namespace {
+
+using std::chrono::seconds;
+
+// One report to each coordinator in this time; a shorter one would use up the
+// daemon's 2,000 bytes of control traffic a second with ten active accounts.
+constexpr seconds report_interval{3};
+// Two reports can be lost before a share expires.
+constexpr seconds share_validity{10};
+constexpr double smallest_reported_demand = 1;
+// Weight of the latest interval in the smoothed demand.
+constexpr double demand_smoothing = 0.5;
+// Part of an account's limit that is not granted by demand but equally, so
+// that a daemon whose demand is new gets something at once while the shares of
+// others are still valid.
+constexpr double equal_part = 0.05;
+// Entry daemons that serve one account in a large deployment (section 8).
+constexpr std::size_t daemons_for_account = 18;
+
+bool is_live_state(member_state state) {
+    return state == member_state::alive || state == member_state::suspect;
+}
+
+std::vector<daemon_id> live_daemons(const membership& members) {
+    std::vector<daemon_id> daemons;
+    for (const member& known : members.members()) {
+        if (is_live_state(known.state)) {
+            daemons.push_back(known.daemon);
+        }
+    }
+    if (!members.leaving()) {
+        daemons.push_back(members.self());
+    }
+    return daemons;
+}
+
+}  // namespace
+
+account_limits::account_limits(daemon_id self) : m_self(std::move(self)) {}
+
+// ---- buckets
+
+double account_limits::default_share(const membership& members) {
+    const auto live = static_cast<std::size_t>(std::ranges::count_if(members.members(), is_live_state, &member::state));
+    const std::size_t serving = std::clamp<std::size_t>(live + (members.leaving() ? 0 : 1), 1, daemons_for_account);
+    return 1.0 / static_cast<double>(serving);
+}
+
+duration account_limits::admit(const account_spec& account, double tokens, const membership& members, time_point now) {
+    if (account.tokens_per_second <= 0) {
+        return duration::zero();
+    }
+    const bool is_new = !m_buckets.contains(account.name);
+    bucket& own = m_buckets[account.name];
+    own.asked_tokens += tokens;
+    const double share = now < own.share_until ? own.share : default_share(members);
+    const double rate = account.tokens_per_second * share;
+    own.burst = std::max(account.burst_tokens, account.tokens_per_second) * share;
+    if (is_new) {
+        own.level = own.burst;
+        own.filled = now;
+        // A new account is reported without waiting for the interval.
+        m_next_report = std::min(m_next_report, now);
+    }
+    const std::chrono::duration<double> passed = now - own.filled;
+    own.level = std::min(own.burst, own.level + rate * passed.count());
+    own.filled = now;
+    // A request above the burst is admitted from a full bucket and leaves a
+    // debt; otherwise it could never run.
+    const double needed = std::min(tokens, own.burst);
+    if (own.level >= needed) {
+        own.level -= tokens;
+        return duration::zero();
+    }
+    constexpr double longest_wait_seconds = 60;
+    const double wait = rate > 0 ? std::min(longest_wait_seconds, (needed - own.level) / rate) : longest_wait_seconds;
+    return std::max(duration(1), std::chrono::ceil<duration>(std::chrono::duration<double>(wait)));
+}
+
+void account_limits::refund(const account_name& account, double tokens) {
+    const auto found = m_buckets.find(account);
+    if (found == m_buckets.end()) {
+        return;
+    }
+    bucket& own = found->second;
+    own.level = std::min(own.burst, own.level + tokens);
+    own.asked_tokens = std::max(0.0, own.asked_tokens - tokens);
+}
+
+void account_limits::take_share(const account_name& account, double share, duration valid_for, time_point now) {
+    const auto found = m_buckets.find(account);
+    if (found == m_buckets.end()) {
+        return;
+    }
+    found->second.share = std::clamp(share, 0.0, 1.0);
+    found->second.share_until = now + std::min<duration>(valid_for, share_validity);
+}
+
+void account_limits::on_share_grant(const daemon_id& /*from*/, const share_grant& grant, time_point now) {
+    for (const account_demand& granted : grant.shares) {
+        take_share(granted.account, granted.tokens_per_second, grant.valid_for, now);
+    }
+}
+
+// ---- coordination
+
+daemon_id account_limits::coordinator_of(const account_name& account, const membership& members) const {
+    const std::uint64_t key = hash_text(account.value);
+    const std::vector<daemon_id> daemons = live_daemons(members);
+    const auto weight = [&](const daemon_id& daemon) {
+        return std::pair(rendezvous_weight(key, daemon.host.value), daemon.host.value);
+    };
+    const auto best = std::ranges::max_element(daemons, {}, weight);
+    return best == daemons.end() ? m_self : *best;
+}
+
+double account_limits::grant_share(const daemon_id& to, const account_demand& demand, time_point now) {
+    auto& daemons = m_coordinated[demand.account].daemons;
+    std::erase_if(daemons, [&](const auto& entry) { return entry.first != to && entry.second.until <= now; });
+    granted_share& own = daemons[to];
+    own.demand = std::max(0.0, demand.tokens_per_second);
+    double total_demand = 0;
+    double granted_to_others = 0;
+    for (const auto& [daemon, granted] : daemons) {
+        total_demand += granted.demand;
+        granted_to_others += daemon == to ? 0 : granted.share;
+    }
+    const double equal = equal_part / static_cast<double>(daemons.size() + 1);
+    const double by_demand = total_demand > 0 ? own.demand / total_demand : 0;
+    const double fair = equal + (1 - equal_part) * by_demand;
+    // What others hold stays theirs until it expires or they report again.
+    own.share = std::clamp(fair, 0.0, std::max(0.0, 1 - granted_to_others));
+    own.until = now + share_validity;
+    return own.share;
+}
+
+void account_limits::on_demand_report(const daemon_id& from, const demand_report& report, const config_snapshot& config,
+                                      const membership& members, time_point now, std::vector<entry_command>& out) {
+    share_grant grant;
+    grant.valid_for = share_validity;
+    for (const account_demand& demand : report.demands) {
+        const bool is_known = config.find_account(demand.account) != nullptr;
+        if (is_known && std::isfinite(demand.tokens_per_second)) {
+            grant.shares.push_back({demand.account, grant_share(from, demand, now)});
+        }
+    }
+    if (!grant.shares.empty()) {
+        members.send(from, std::move(grant), out);
+    }
+}
+
+void account_limits::measure_demand(time_point now) {
+    const std::chrono::duration<double> passed = now - m_measured;
+    m_measured = now;
+    if (passed.count() <= 0) {
+        return;
+    }
+    for (auto& [account, own] : m_buckets) {
+        const double rate = std::exchange(own.asked_tokens, 0) / passed.count();
+        own.demand = own.reported ? own.demand + demand_smoothing * (rate - own.demand) : rate;
+    }
+}
+
+void account_limits::forget_expired(time_point now) {
+    for (auto& [account, coordinated] : m_coordinated) {
+        std::erase_if(coordinated.daemons, [&](const auto& daemon) { return daemon.second.until <= now; });
+    }
+    std::erase_if(m_coordinated, [](const auto& entry) { return entry.second.daemons.empty(); });
+    // A full bucket without demand and without a share holds no information.
+    std::erase_if(m_buckets, [&](const auto& entry) {
+        const bucket& own = entry.second;
+        return own.demand < smallest_reported_demand && own.share_until <= now && now - own.filled > share_validity * 6;
+    });
+}
+
+void account_limits::on_tick(const membership& members, const config_snapshot& config, time_point now,
+                             std::vector<entry_command>& out) {
+    if (!m_started) {
+        m_started = true;
+        m_measured = now;
+        m_next_report = now + report_interval;
+    }
+    if (now < m_next_report) {
+        return;
+    }
+    m_next_report = now + report_interval;
+    measure_demand(now);
+    forget_expired(now);
+    std::map<daemon_id, demand_report> reports;
+    for (auto& [account, own] : m_buckets) {
+        if (own.demand < smallest_reported_demand || config.find_account(account) == nullptr) {
+            continue;
+        }
+        own.reported = true;
+        reports[coordinator_of(account, members)].demands.push_back({account, own.demand});
+    }
+    for (auto& [coordinator, report] : reports) {
+        if (coordinator != m_self) {
+            members.send(coordinator, std::move(report), out);
+            continue;
+        }
+        for (const account_demand& demand : report.demands) {
+            take_share(demand.account, grant_share(m_self, demand, now), share_validity, now);
+        }
+    }
+}
+
+std::optional<time_point> account_limits::next_wakeup() const {
+    return m_started ? m_next_report : time_point{};
+}
+
+}  // namespace verbenahold
--- a/src/core/account_limits.hpp
+++ b/src/core/account_limits.hpp
@@ -7,6 +7,7 @@
 
 #include "verbenahold/records.hpp"
 
+#include <map>
 #include <optional>
 
 namespace verbenahold {
@@ -17,6 +18,7 @@
 
     // Takes `tokens` from the account's bucket, or says how long to wait.
     // Zero means admitted.
+    // An account without a positive tokens_per_second has no limit.
     duration admit(const account_spec& account, double tokens, const membership& members, time_point now);
     // Gives back what a request did not use.
     void refund(const account_name& account, double tokens);
@@ -26,6 +28,44 @@
     void on_tick(const membership& members, const config_snapshot& config, time_point now,
                  std::vector<entry_command>& out);
     [[nodiscard]] std::optional<time_point> next_wakeup() const;
+
+private:
+    struct bucket {
+        double level = 0;
+        time_point filled{};
+        // Largest level, and tokens a second, at the last admit.
+        double burst = 0;
+        // Granted share; the default applies once it has expired.
+        double share = 0;
+        time_point share_until = time_point::min();
+        // Tokens asked for since the last report, and the smoothed rate.
+        double asked_tokens = 0;
+        double demand = 0;
+        bool reported = false;
+    };
+    struct granted_share {
+        double demand = 0;
+        double share = 0;
+        time_point until{};
+    };
+    // What the coordinator of an account knows of it.
+    struct coordinated_account {
+        std::map<daemon_id, granted_share> daemons;
+    };
+
+    [[nodiscard]] static double default_share(const membership& members);
+    [[nodiscard]] daemon_id coordinator_of(const account_name& account, const membership& members) const;
+    double grant_share(const daemon_id& to, const account_demand& demand, time_point now);
+    void take_share(const account_name& account, double share, duration valid_for, time_point now);
+    void measure_demand(time_point now);
+    void forget_expired(time_point now);
+
+    daemon_id m_self;
+    std::map<account_name, bucket> m_buckets;
+    std::map<account_name, coordinated_account> m_coordinated;
+    time_point m_measured{};
+    time_point m_next_report{};
+    bool m_started = false;
 };
 
 }  // namespace verbenahold
--- /dev/null
+++ b/src/core/config_view.cpp
@@ -0,0 +1,273 @@
+#include "config_view.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace verbenahold {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr seconds head_poll_interval{2};
+constexpr milliseconds head_poll_jitter{200};
+// The shell answers or fails a read within 2 s; later it counts as lost.
+constexpr seconds head_answer_limit{5};
+constexpr seconds fetch_limit{1};
+constexpr milliseconds look_interval{500};
+// From section 15: work starts only on a version confirmed within this time.
+constexpr seconds confirmation_limit{5};
+constexpr std::size_t kept_changes = 1'024;
+
+bool is_reachable(const member& known) {
+    return known.state != member_state::dead;
+}
+
+}  // namespace
+
+config_view::config_view(daemon_id self, std::uint64_t seed)
+    : m_self(std::move(self)), m_random(seed), m_current(std::make_shared<const config_snapshot>()) {}
+
+// ---- adopting versions
+
+void config_view::adopt_whole(const config_delta& delta) {
+    config_snapshot::record_map records;
+    for (const config_change& change : delta.changes) {
+        if (change.value) {
+            records[change.key] = *change.value;
+        }
+    }
+    m_current = std::make_shared<const config_snapshot>(delta.to_version, std::move(records));
+    m_log.clear();
+    m_log_floor = delta.to_version;
+}
+
+bool config_view::adopt_changes(const config_delta& delta) {
+    std::vector<const config_change*> changes;
+    for (const config_change& change : delta.changes) {
+        if (change.version > m_current->version()) {
+            changes.push_back(&change);
+        }
+    }
+    std::ranges::stable_sort(changes, {}, [](const config_change* change) { return change->version; });
+    std::uint64_t version = m_current->version();
+    config_snapshot::record_map records;
+    bool has_gap = false;
+    for (const config_change* change : changes) {
+        has_gap = change->version > version + 1;
+        if (has_gap) {
+            break;
+        }
+        if (version == m_current->version()) {
+            records = m_current->records();
+        }
+        version = change->version;
+        if (change->value) {
+            records[change->key] = *change->value;
+        } else {
+            records.erase(change->key);
+        }
+        m_log.push_back(*change);
+    }
+    if (version > m_current->version()) {
+        m_current = std::make_shared<const config_snapshot>(version, std::move(records));
+    }
+    while (m_log.size() > kept_changes) {
+        m_log_floor = m_log.front().version;
+        m_log.pop_front();
+    }
+    return !has_gap && version >= delta.to_version;
+}
+
+bool config_view::adopt(const config_delta& delta, std::vector<entry_command>& out) {
+    const std::uint64_t before = m_current->version();
+    if (delta.to_version <= before) {
+        return true;
+    }
+    bool complete = true;
+    if (delta.whole) {
+        adopt_whole(delta);
+    } else {
+        complete = adopt_changes(delta);
+    }
+    m_known_version = std::max(m_known_version, delta.to_version);
+    if (m_current->version() != before) {
+        out.push_back(log_change{"configuration version " + std::to_string(m_current->version())});
+    }
+    return complete;
+}
+
+void config_view::confirm(time_point as_of) {
+    m_confirmed_at = std::max(m_confirmed_at.value_or(as_of), as_of);
+}
+
+// ---- the table
+
+void config_view::on_table_head(std::uint64_t version, time_point now, std::vector<entry_command>& out) {
+    m_table_failing = false;
+    const std::optional<time_point> asked = std::exchange(m_head_asked, std::nullopt);
+    m_known_version = std::max(m_known_version, version);
+    if (version == m_current->version() && asked) {
+        confirm(*asked);
+    }
+    if (version > m_current->version() && !m_fetch_until) {
+        m_fetch_until = now + fetch_limit;
+        out.push_back(read_changes{m_current->version()});
+    }
+}
+
+void config_view::on_table_changes(const config_delta& delta, time_point now, std::vector<entry_command>& out) {
+    m_table_failing = false;
+    m_fetch_until.reset();
+    if (!adopt(delta, out)) {
+        m_next_look = now;
+    }
+    // The head was read before the changes, so confirming waits for the next
+    // poll, which comes at once.
+    m_next_poll = std::min(m_next_poll, now);
+}
+
+void config_view::on_table_failed(table_operation operation, time_point now) {
+    if (operation == table_operation::read_head) {
+        m_head_asked.reset();
+        m_table_failing = true;
+    }
+    if (operation == table_operation::read_changes) {
+        m_fetch_until.reset();
+        m_table_failing = true;
+        m_ask_table_next = false;
+        m_next_look = std::max(m_next_look, now + look_interval);
+    }
+}
+
+void config_view::poll_head(time_point now, std::vector<entry_command>& out) {
+    if (m_head_asked && now - *m_head_asked >= head_answer_limit) {
+        m_head_asked.reset();
+        m_table_failing = true;
+    }
+    if (now < m_next_poll || m_head_asked) {
+        return;
+    }
+    // Spreads the reads of daemons that started together.
+    m_next_poll = now + head_poll_interval - duration(m_random() % duration(head_poll_jitter).count());
+    m_head_asked = now;
+    out.push_back(read_head{});
+}
+
+// ---- peers
+
+config_delta config_view::whole() const {
+    config_delta delta;
+    delta.to_version = m_current->version();
+    delta.whole = true;
+    for (const auto& [key, value] : m_current->records()) {
+        delta.changes.push_back({delta.to_version, key, value});
+    }
+    return delta;
+}
+
+config_delta config_view::changes_after(std::uint64_t version) const {
+    config_delta delta;
+    delta.from_version = version;
+    delta.to_version = m_current->version();
+    const auto first = std::ranges::upper_bound(m_log, version, {}, &config_change::version);
+    delta.changes.assign(first, m_log.end());
+    return delta;
+}
+
+void config_view::on_fetch(const daemon_id& from, const config_fetch& message, const membership& members,
+                           std::vector<entry_command>& out) const {
+    if (message.have_version >= m_current->version()) {
+        return;
+    }
+    const bool is_logged = message.have_version >= m_log_floor;
+    members.send(from, is_logged ? changes_after(message.have_version) : whole(), out);
+}
+
+void config_view::on_delta(const daemon_id& /*from*/, const config_delta& delta, time_point now,
+                           std::vector<entry_command>& out) {
+    m_fetch_until.reset();
+    if (!adopt(delta, out)) {
+        m_ask_table_next = true;
+    }
+    m_next_look = now;
+}
+
+void config_view::fetch(const membership& members, time_point now, std::vector<entry_command>& out) {
+    std::vector<const member*> holders;
+    for (const member& known : members.members()) {
+        if (is_reachable(known) && known.config_version > m_current->version()) {
+            holders.push_back(&known);
+        }
+    }
+    const bool ask_table = holders.empty() || std::exchange(m_ask_table_next, !m_ask_table_next);
+    m_fetch_until = now + fetch_limit;
+    if (ask_table && !(m_table_failing && !holders.empty())) {
+        out.push_back(read_changes{m_current->version()});
+        return;
+    }
+    const member* chosen = holders[m_random() % holders.size()];
+    members.send(chosen->daemon, config_fetch{m_current->version()}, out);
+}
+
+void config_view::look_at_members(const membership& members, time_point now, std::vector<entry_command>& out) {
+    const std::uint64_t version = m_current->version();
+    std::optional<time_point> agreed;
+    bool is_behind = false;
+    for (const member& known : members.members()) {
+        if (!is_reachable(known)) {
+            continue;
+        }
+        is_behind = is_behind || known.config_version > version;
+        m_known_version = std::max(m_known_version, known.config_version);
+        // While the table fails no change can be accepted, so the agreement of
+        // a live peer suffices even if that peer is not confirmed itself.
+        const bool is_witness = known.config_confirmed || m_table_failing;
+        if (known.config_version == version && is_witness && known.config_as_of != time_point::min()) {
+            agreed = std::max(agreed.value_or(known.config_as_of), known.config_as_of);
+        }
+    }
+    // Without any version there is nothing that peers could agree on.
+    if (agreed && !is_behind && version > 0 && m_known_version == version) {
+        confirm(*agreed);
+    }
+    if (m_fetch_until && now >= *m_fetch_until) {
+        m_fetch_until.reset();
+    }
+    if (m_known_version > version && !m_fetch_until) {
+        fetch(members, now, out);
+    }
+}
+
+void config_view::on_tick(const membership& members, time_point now, std::vector<entry_command>& out) {
+    if (!m_started) {
+        m_started = true;
+        m_next_poll = now;
+        m_next_look = now;
+    }
+    poll_head(now, out);
+    if (now >= m_next_look) {
+        m_next_look = now + look_interval;
+        look_at_members(members, now, out);
+    }
+}
+
+// ---- questions
+
+const shared_config& config_view::current() const {
+    return m_current;
+}
+
+bool config_view::is_confirmed(time_point now) const {
+    return m_confirmed_at && now - *m_confirmed_at <= confirmation_limit;
+}
+
+std::optional<time_point> config_view::next_wakeup() const {
+    if (!m_started) {
+        return time_point{};
+    }
+    return std::min(m_next_look, m_head_asked ? *m_head_asked + head_answer_limit : m_next_poll);
+}
+
+}  // namespace verbenahold
--- a/src/core/config_view.hpp
+++ b/src/core/config_view.hpp
@@ -8,7 +8,9 @@
 #include "verbenahold/commands.hpp"
 #include "verbenahold/records.hpp"
 
+#include <deque>
 #include <optional>
+#include <random>
 
 namespace verbenahold {
 
@@ -30,6 +32,40 @@
     // is itself confirmed, within the last confirmation_limit (5 s).
     [[nodiscard]] bool is_confirmed(time_point now) const;
     [[nodiscard]] std::optional<time_point> next_wakeup() const;
+
+private:
+    // Returns false when a change is missing between the current version and
+    // the delta's.
+    bool adopt(const config_delta& delta, std::vector<entry_command>& out);
+    void adopt_whole(const config_delta& delta);
+    bool adopt_changes(const config_delta& delta);
+    [[nodiscard]] config_delta changes_after(std::uint64_t version) const;
+    [[nodiscard]] config_delta whole() const;
+    void confirm(time_point as_of);
+    void poll_head(time_point now, std::vector<entry_command>& out);
+    void look_at_members(const membership& members, time_point now, std::vector<entry_command>& out);
+    void fetch(const membership& members, time_point now, std::vector<entry_command>& out);
+
+    daemon_id m_self;
+    std::mt19937_64 m_random;
+    shared_config m_current;
+    // Latest changes in version order; complete after m_log_floor.
+    std::deque<config_change> m_log;
+    std::uint64_t m_log_floor = 0;
+    // Highest version heard of, from the table or a live member.
+    std::uint64_t m_known_version = 0;
+    std::optional<time_point> m_confirmed_at;
+    // Set while a read of the head waits for its answer.
+    std::optional<time_point> m_head_asked;
+    time_point m_next_poll{};
+    // Set while changes that were asked for are waited for.
+    std::optional<time_point> m_fetch_until;
+    // The table is asked in every second attempt, since a peer may answer
+    // nothing.
+    bool m_ask_table_next = true;
+    bool m_table_failing = false;
+    bool m_started = false;
+    time_point m_next_look{};
 };
 
 }  // namespace verbenahold
--- a/src/core/membership.hpp
+++ b/src/core/membership.hpp
@@ -6,6 +6,7 @@
 #include "verbenahold/entry_core.hpp"
 #include "verbenahold/messages.hpp"
 
+#include <map>
 #include <optional>
 #include <random>
 #include <span>
@@ -26,6 +27,10 @@
     // Latest announcements of that daemon, as far as heard.
     std::uint64_t config_version = 0;
     bool config_confirmed = false;
+    // The daemon announced config_version at or after this time: the send time
+    // of the probe that its ack answered. A message that waited in a buffer
+    // while this daemon was paused does not move it.
+    time_point config_as_of = time_point::min();
     std::uint8_t oldest_schema = 1;
     std::uint8_t newest_schema = 1;
     time_point last_heard{};
@@ -66,8 +71,124 @@
     // Grows with every change of the set of live, non-leaving daemons.
     [[nodiscard]] std::uint64_t view_version() const;
     [[nodiscard]] bool leaving() const;
+    // False from the start until every candidate of the first host list has
+    // answered or failed a probe: with a part of the members only, this daemon
+    // would take itself for the owner of nearly all servers.
+    [[nodiscard]] bool joined() const;
     // Sends a message to a member; nothing if its endpoint is unknown.
     void send(const daemon_id& to, peer_message message, std::vector<entry_command>& out) const;
+
+private:
+    // What is kept of a member besides its public view; same index.
+    struct peer_state {
+        // State by gossip and probes, without the host list's word on leaving.
+        member_state heard = member_state::alive;
+        time_point first_known{};
+        // Since when a suspect, or a leaving member that fails probes, is
+        // waited for.
+        time_point suspect_since{};
+        // This daemon's own probe failed and has not been repeated since.
+        bool ask_again = false;
+    };
+    struct candidate {
+        zone_name zone;
+        endpoint peer_endpoint;
+        endpoint caller_endpoint;
+        bool leaving = false;
+        bool tried = false;
+    };
+    struct outstanding_probe {
+        std::uint64_t sequence = 0;
+        host_name target;
+        time_point sent{};
+        bool asked_others = false;
+    };
+    struct relayed_probe {
+        daemon_id asker;
+        std::uint64_t asker_sequence = 0;
+        time_point sent{};
+    };
+    struct pending_update {
+        host_name host;
+        int sent = 0;
+    };
+    struct pending_strike {
+        crash_strike strike;
+        int sent = 0;
+    };
+
+    void start(time_point now);
+    void resume_after_pause(time_point now);
+    [[nodiscard]] std::size_t index_of(const host_name& host) const;
+    [[nodiscard]] const endpoint* endpoint_of(const host_name& host) const;
+    void add_member(const member_update& update, time_point now, std::vector<entry_command>& out);
+    void remove_member(std::size_t index);
+    void set_state(std::size_t index, member_state heard, time_point now, std::vector<entry_command>& out);
+    void refresh_shown_state(std::size_t index, time_point now, std::vector<entry_command>& out);
+    void apply_update(const member_update& update, time_point now, std::vector<entry_command>& out);
+    void apply_self_update(const member_update& update, std::vector<entry_command>& out);
+    // Returns false when the sender is an earlier incarnation or unknown.
+    bool take_gossip(const daemon_id& from, const gossip_payload& gossip, time_point now,
+                     std::vector<entry_command>& out);
+    void take_strikes(std::span<const crash_strike> strikes);
+
+    void enqueue_update(const host_name& host);
+    [[nodiscard]] member_update update_of(const host_name& host) const;
+    [[nodiscard]] int transmissions() const;
+    gossip_payload make_gossip(const host_name& to, bool with_self, int filler);
+    bool append_update(gossip_payload& gossip, const host_name& host);
+    void append_filler(gossip_payload& gossip, const host_name& to, int count);
+    void append_strikes(gossip_payload& gossip);
+    void spend(std::size_t bytes);
+    void refill(time_point now);
+
+    void probe_peers(time_point now, std::vector<entry_command>& out);
+    void send_probe(const host_name& target, time_point now, std::vector<entry_command>& out);
+    void ask_others(outstanding_probe& outstanding, std::vector<entry_command>& out);
+    void check_outstanding(time_point now, std::vector<entry_command>& out);
+    void suspect(std::size_t index, time_point now, std::vector<entry_command>& out);
+    void check_suspects(time_point now, std::vector<entry_command>& out);
+    void forget_old_members(time_point now);
+    [[nodiscard]] bool is_waited_for(const host_name& host) const;
+    std::optional<host_name> next_target();
+    void start_round();
+    void check_joined(time_point now);
+    void push_message(const daemon_id& to, const endpoint& address, peer_message message,
+                      std::vector<entry_command>& out) const;
+
+    entry_settings m_settings;
+    std::mt19937_64 m_random;
+    std::vector<member> m_members;
+    std::vector<peer_state> m_peers;
+    std::unordered_map<host_name, std::size_t> m_index;
+    // Entry hosts of the latest host list, also those that are members.
+    std::map<host_name, candidate> m_candidates;
+    bool m_has_host_list = false;
+    bool m_joined = false;
+    bool m_leave_begun = false;
+    bool m_host_leaving = false;
+    bool m_replaced = false;
+    std::uint32_t m_refutation = 0;
+    std::uint64_t m_view_version = 1;
+    std::uint64_t m_sequence = 0;
+    std::optional<time_point> m_started;
+    std::optional<time_point> m_first_list;
+    time_point m_last_tick{};
+    time_point m_next_probe{};
+    std::vector<host_name> m_round;
+    std::vector<outstanding_probe> m_outstanding;
+    std::map<std::uint64_t, relayed_probe> m_relayed;
+    std::vector<host_name> m_suspects;
+    std::vector<pending_update> m_pending;
+    std::size_t m_filler_cursor = 0;
+    double m_budget_bytes = 0;
+    time_point m_budget_time{};
+    std::uint64_t m_config_version = 0;
+    bool m_config_confirmed = false;
+    std::vector<pending_strike> m_strikes;
+    std::vector<crash_strike> m_received_strikes;
+    // When is_dead_for was first asked about a daemon that is not known here.
+    mutable std::unordered_map<daemon_id, time_point> m_unknown_asked;
 };
 
 }  // namespace verbenahold
--- /dev/null
+++ b/src/core/rendezvous.hpp
@@ -0,0 +1,15 @@
+// Rendezvous hashing with XXH64: of a set of hosts, the one with the highest
+// weight for a key is chosen, so that a change of the set moves few keys.
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace verbenahold {
+
+std::uint64_t hash_text(std::string_view text, std::uint64_t seed = 0);
+
+// Weight of a host for a key that was hashed with hash_text.
+std::uint64_t rendezvous_weight(std::uint64_t key_hash, std::string_view host);
+
+}  // namespace verbenahold
