--- a/include/verbenahold/commands.hpp
+++ b/include/verbenahold/commands.hpp
@@ -7,6 +7,7 @@
 #include "verbenahold/types.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -160,6 +161,7 @@
 
 // Machine-readable name, as in "account_limit".
 std::string_view to_string(refusal code);
+std::optional<refusal> parse_refusal(std::string_view text);
 // HTTP status that goes with a refusal.
 int http_status(refusal code);
 
@@ -223,9 +225,11 @@
     double seconds = 0;
 };
 
-// A hop of a trace that has ended.
+// A hop of a trace that has ended. Both fields are W3C traceparent texts: of
+// the hop itself and of the hop that called it (empty for the first).
 struct span_ended {
     std::string traceparent;
+    std::string parent;
     std::string_view name;
     duration length{};
     bool ok = true;
--- /dev/null
+++ b/src/core/answer_assembly.hpp
@@ -0,0 +1,35 @@
+// Puts the numbered tokens of one answer in order. Tokens may come late,
+// doubled or out of order; what lies beyond a gap waits for the gap to fill.
+#pragma once
+
+#include "answer_checksum.hpp"
+
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace verbenahold {
+
+class answer_assembly {
+public:
+    // Adds tokens numbered from `first_index` and returns those that have
+    // become contiguous, valid until the next call.
+    std::span<const std::string> add(std::uint64_t first_index, std::span<const std::string> tokens);
+    // Drops tokens that wait beyond a gap: a new attempt will send its own.
+    void drop_beyond_gap();
+
+    [[nodiscard]] std::uint64_t count() const { return m_tokens.size(); }
+    [[nodiscard]] std::uint64_t checksum() const { return m_checksum.value(); }
+    [[nodiscard]] const std::vector<std::string>& tokens() const { return m_tokens; }
+
+private:
+    void append(const std::string& token);
+
+    std::vector<std::string> m_tokens;
+    answer_checksum m_checksum;
+    std::map<std::uint64_t, std::string> m_waiting;
+};
+
+}  // namespace verbenahold
