Number forwards of keyed calls

A repetition of a forward that arrives after the home answered "not run" would run the call after the caller was told that it had not run. The number lets the home recognise it.

--- a/include/verbenahold/messages.hpp
+++ b/include/verbenahold/messages.hpp
@@ -296,6 +296,9 @@
 // A non-idempotent call on its way to the only daemon that may run it.
 struct keyed_call {
     std::string key;
+    // Grows with each new forward by one sender, equal in its repetitions: a
+    // repetition that arrives after "not run" was answered must not run.
+    std::uint64_t forward_number = 0;
     service_name service;
     account_name account;
     std::string method;
