--- /dev/null
+++ b/test/correctness/core_records_faults.cpp
@@ -0,0 +1,77 @@
+// Guards the table against records that daemons could not use, and operators
+// against a fault that does not name its field.
+#include "verbenahold/commands.hpp"
+#include "verbenahold/records.hpp"
+
+#include <QJsonDocument>
+
+#include <catch2/catch.hpp>
+
+#include <iostream>
+#include <set>
+
+using namespace verbenahold;
+
+namespace {
+
+struct faulty {
+    const char* text;
+    record_error error;
+    const char* field;
+};
+
+}  // namespace
+
+TEST_CASE("a faulty record is refused with the name of its field") {
+    const auto wrong = GENERATE(
+        faulty{"{'kind':'host','name':'a','schema_version':2,'spec':{}}", record_error::unknown_kind, "kind"},
+        faulty{"{'kind':'service','name':'A/b','schema_version':2,'spec':{}}", record_error::bad_name, "name"},
+        faulty{"{'kind':'service','name':'a','schema_version':3,'spec':{'type':'model'}}",
+               record_error::unsupported_schema_version, "schema_version"},
+        faulty{"{'kind':'service','name':'a','schema_version':2}", record_error::missing_field, "spec"},
+        faulty{"{'kind':'service','name':'a','schema_version':2,'spec':[]}", record_error::not_an_object, "spec"},
+        faulty{"{'kind':'service','name':'a','schema_version':1,'spec':{'type':'model'}}", record_error::missing_field,
+               "capacity"},
+        faulty{"{'kind':'service','name':'a','schema_version':2,'spec':{'type':'model','max_unavailable':0}}",
+               record_error::bad_value, "max_unavailable"},
+        faulty{"{'kind':'service','name':'a','schema_version':2,'spec':{'type':'model','warm_capacity':1.5}}",
+               record_error::bad_value, "warm_capacity"},
+        faulty{"{'kind':'service','name':'a','schema_version':2,"
+               "'spec':{'type':'model','cold_capacity':5,'warm_capacity':4}}",
+               record_error::bad_value, "cold_capacity"},
+        faulty{"{'kind':'client_account','name':'a','schema_version':2,"
+               "'spec':{'key_hashes':['secret'],'tokens_per_second':1}}",
+               record_error::bad_value, "key_hashes"},
+        faulty{"{'kind':'routing_intention','name':'a','schema_version':2,'spec':{'long_share':1.5}}",
+               record_error::bad_value, "long_share"},
+        faulty{"{'kind':'availability_zone','name':'a','schema_version':2,'spec':{'state':'away'}}",
+               record_error::bad_value, "state"});
+    const auto json = QJsonDocument::fromJson(QByteArray(wrong.text).replace('\'', '"')).object();
+    REQUIRE_FALSE(json.isEmpty());
+    const auto result = parse_record(json);
+    REQUIRE_FALSE(result);
+    CHECK(result.error().error == wrong.error);
+    CHECK(result.error().field == wrong.field);
+    CHECK_FALSE(result.error().message.empty());
+    std::cout << "refused with its field " << wrong.field << ": passed\n";
+}
+
+TEST_CASE("a stored record that does not parse has no typed view") {
+    const record broken{{record_kind::service, "a"}, 2, 1, {{"type", "unheard-of"}}};
+    const config_snapshot snapshot(3, {{broken.key, broken}});
+    CHECK(snapshot.records().size() == 1);
+    CHECK(snapshot.find_service(service_name("a")) == nullptr);
+    std::cout << "no view of a broken record: passed\n";
+}
+
+TEST_CASE("every refusal has its own name and an HTTP error status") {
+    std::set<std::string_view> names;
+    for (int code = 0; code <= static_cast<int>(refusal::outcome_unknown); ++code) {
+        names.insert(to_string(static_cast<refusal>(code)));
+        CHECK(http_status(static_cast<refusal>(code)) >= 400);
+    }
+    CHECK(names.size() == static_cast<std::size_t>(refusal::outcome_unknown) + 1);
+    CHECK(http_status(refusal::account_limit) == 429);
+    CHECK(http_status(refusal::request_crashes_servers) == 403);
+    std::cout << "names of refusals: passed\n";
+}
