--- /dev/null
+++ b/src/core/caller_side.hpp
@@ -0,0 +1,131 @@
+// The callers' half of an entry daemon: one state machine for each request,
+// from placement over attempts at owners to the whole answer or a refusal.
+#pragma once
+
+#include "account_limits.hpp"
+#include "cost_model.hpp"
+#include "crash_evidence.hpp"
+#include "membership.hpp"
+#include "open_request.hpp"
+#include "ownership.hpp"
+#include "placement.hpp"
+#include "prefix_index.hpp"
+#include "retry_budget.hpp"
+#include "summary_table.hpp"
+
+#include "verbenahold/commands.hpp"
+#include "verbenahold/events.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace verbenahold {
+
+// Open requests are checked for deadlines and silence this often.
+inline constexpr duration request_check_period = std::chrono::milliseconds(50);
+// Placements in a row before a request pauses.
+inline constexpr int max_placements_in_a_row = 4;
+
+// How a keyed call ended, for the part that keeps outcomes by key.
+struct keyed_end {
+    std::string key;
+    keyed_reply reply;
+};
+
+class caller_side {
+public:
+    // What every call may look at; valid during the call only.
+    struct context {
+        time_point now{};
+        const config_snapshot& config;
+        bool config_confirmed = false;
+        const membership& members;
+        const ownership& owners;
+        crash_evidence& evidence;
+        std::vector<entry_command>& out;
+    };
+
+    // A request whose account and service are known and that may start.
+    struct admission {
+        reply_target target;
+        const account_spec& account;
+        const service_spec& service;
+        duration time_allowed{};
+    };
+
+    caller_side(daemon_id self, zone_name zone, std::uint64_t seed);
+
+    // Checks account, service, configuration, limits and crash evidence, then
+    // places the request or refuses it.
+    void on_caller_request(const caller_request& request, context& ctx);
+    void on_caller_gone(std::uint64_t ticket, context& ctx);
+    // Starts a keyed call that this daemon may run; ends in take_keyed_ends().
+    void start_keyed_call(const std::string& key, const keyed_call& call, context& ctx);
+    std::vector<keyed_end> take_keyed_ends();
+
+    void on_bounced(const daemon_id& from, const submit_bounced& message, context& ctx);
+    void on_accepted(const daemon_id& from, const submit_accepted& message, context& ctx);
+    void on_tokens(const daemon_id& from, const attempt_tokens& message, context& ctx);
+    void on_finished(const daemon_id& from, const attempt_finished& message, context& ctx);
+    void on_replied(const daemon_id& from, const attempt_replied& message, context& ctx);
+    void on_failed(const daemon_id& from, const attempt_failed& message, context& ctx);
+    void on_status(const daemon_id& from, const attempt_status& message, context& ctx);
+    void on_summary(const daemon_id& from, const owner_summary& summary, time_point now);
+    void on_tick(context& ctx);
+
+    [[nodiscard]] std::optional<time_point> next_wakeup() const;
+    [[nodiscard]] std::size_t open() const { return m_requests.size(); }
+
+    // The account behind a caller's key, or the refusal that answers it.
+    static std::variant<const account_spec*, refusal> authenticate(std::string_view key_hash, const context& ctx);
+
+    account_limits& limits() { return m_limits; }
+    prefix_index& prefixes() { return m_prefixes; }
+    summary_table& summaries() { return m_summaries; }
+
+private:
+    using request_map = std::unordered_map<request_id, open_request>;
+
+    void admit(const caller_request& request, const admission& granted, context& ctx);
+    submit make_work(const caller_request& request, const admission& granted, const request_id& id);
+    void open_and_place(open_request request, context& ctx);
+    void place(open_request& request, context& ctx);
+    void send_attempt(open_request& request, const placement_choice& choice, context& ctx);
+    void pause_placing(open_request& request, context& ctx);
+    void retry_after_loss(open_request& request, context& ctx);
+    void lose_owner(open_request& request, context& ctx);
+    void check(open_request& request, context& ctx);
+    void check_attempt(open_request& request, context& ctx);
+    void query(open_request& request, context& ctx);
+    void learn(const open_request& request, const attempt_finished& message, context& ctx);
+    void note_tokens(open_request& request, std::size_t count, context& ctx);
+
+    void finish(open_request& request, const attempt_finished& message, context& ctx);
+    void refuse(open_request& request, refusal code, ran_state ran, std::string message, context& ctx);
+    void refuse_ticket(std::uint64_t ticket, refusal code, std::string message, duration retry_after, context& ctx);
+    void close(const request_id& id, bool ok, context& ctx);
+    void send_cancel(const open_request& request, context& ctx);
+    open_request* find_current(const attempt_id& attempt, const daemon_id& from);
+    static ran_state ran_so_far(const open_request& request);
+
+    daemon_id m_self;
+    zone_name m_zone;
+    std::mt19937_64 m_random;
+    std::uint64_t m_last_sequence = 0;
+    request_map m_requests;
+    std::unordered_map<std::uint64_t, request_id> m_by_ticket;
+    std::vector<keyed_end> m_keyed_ends;
+    std::optional<time_point> m_next_check;
+    account_limits m_limits;
+    cost_model m_costs;
+    placement m_placement;
+    prefix_index m_prefixes;
+    retry_budget m_retries;
+    summary_table m_summaries;
+};
+
+}  // namespace verbenahold
--- a/src/core/commands.cpp
+++ b/src/core/commands.cpp
@@ -53,6 +53,17 @@
     return traits_of(code).name;
 }
 
+std::optional<refusal> parse_refusal(std::string_view text) {
+    for (auto code = refusal::unauthorized;; code = static_cast<refusal>(static_cast<int>(code) + 1)) {
+        if (to_string(code) == text) {
+            return code;
+        }
+        if (code == refusal::outcome_unknown) {
+            return std::nullopt;
+        }
+    }
+}
+
 int http_status(refusal code) {
     return traits_of(code).status;
 }
--- /dev/null
+++ b/src/core/idempotency.hpp
@@ -0,0 +1,103 @@
+// Runs non-idempotent calls at most once. Each key has one home daemon, the
+// only one that may run its call; any other daemon forwards to the home. Keys
+// issued by locate name their home, so they need no store; for a key made by
+// the caller, a claim row in the table service decides the home.
+#pragma once
+
+#include "caller_side.hpp"
+#include "idempotency_key.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace verbenahold {
+
+// A key may start its call this long after it was issued.
+inline constexpr duration key_lifetime = std::chrono::minutes(10);
+// An outcome is kept this long after its key was issued or first seen, so
+// that an unseen key younger than this has provably not run.
+inline constexpr duration outcome_lifetime = std::chrono::minutes(20);
+
+class idempotency {
+public:
+    using context = caller_side::context;
+
+    idempotency(daemon_id self, std::uint64_t seed);
+
+    std::string issue_key(time_point now);
+
+    void on_caller_request(const caller_request& request, caller_side& callers, context& ctx);
+    void on_caller_gone(std::uint64_t ticket);
+    void on_keyed_call(const daemon_id& from, const keyed_call& call, caller_side& callers, context& ctx);
+    void on_keyed_reply(const daemon_id& from, const keyed_reply& reply, context& ctx);
+    void on_claim_answered(const claim_answered& answer, caller_side& callers, context& ctx);
+    // Takes ended calls from the caller side and answers whoever waits.
+    void collect_ends(caller_side& callers, context& ctx);
+    void on_tick(caller_side& callers, context& ctx);
+
+    [[nodiscard]] std::optional<time_point> next_wakeup() const;
+    // Calls that run or wait for their claim here, or for their home.
+    [[nodiscard]] std::size_t open() const;
+
+private:
+    // Who waits for an outcome: a caller here or another daemon.
+    using waiter = std::variant<std::uint64_t, daemon_id>;
+
+    enum class call_state : std::uint8_t { claiming, running, ended };
+
+    struct call_entry {
+        call_state state = call_state::running;
+        std::uint64_t body_hash = 0;
+        keyed_call call;
+        time_point deadline{};
+        time_point forget_at{};
+        bool claimed_in_table = false;
+        keyed_reply outcome;
+        std::vector<waiter> waiters;
+        // Highest forward number of each daemon that was told "not run".
+        std::map<daemon_id, std::uint64_t> refused_forwards;
+        std::map<daemon_id, std::uint64_t> newest_forwards;
+    };
+
+    // A call of a local caller whose key has its home elsewhere.
+    struct forwarded_call {
+        daemon_id home;
+        keyed_call call;
+        time_point deadline{};
+        time_point resend_at{};
+        std::vector<std::uint64_t> tickets;
+    };
+
+    using entry_key = std::pair<account_name, std::string>;
+
+    void begin(const keyed_call& call, const waiter& from, caller_side& callers, context& ctx);
+    void begin_issued(const idempotency_key& key, const keyed_call& call, const waiter& from, caller_side& callers,
+                      context& ctx);
+    void begin_claimed(const keyed_call& call, const waiter& from, context& ctx);
+    bool join(const entry_key& key, const keyed_call& call, const waiter& from, caller_side& callers, context& ctx);
+    void start_again(const entry_key& key, const keyed_call& call, caller_side& callers, context& ctx);
+    void run(const entry_key& key, caller_side& callers, context& ctx);
+    void forward(const daemon_id& home, const keyed_call& call, std::uint64_t ticket, context& ctx);
+    void end(const entry_key& key, keyed_reply reply, context& ctx);
+    void send_forwarded(forwarded_call& forwarded, context& ctx);
+    void check_forwarded(context& ctx);
+    void forget_old(time_point now);
+    void wake_by(time_point when);
+
+    static void note_waiter(call_entry& entry, const keyed_call& call, const waiter& from);
+    static void answer(const waiter& to, const keyed_reply& reply, context& ctx);
+    static keyed_reply refusal_reply(const keyed_call& call, refusal code, ran_state ran);
+
+    daemon_id m_self;
+    std::mt19937_64 m_random;
+    std::uint64_t m_last_forward = 0;
+    std::map<entry_key, call_entry> m_calls;
+    std::map<entry_key, forwarded_call> m_forwarded;
+    std::optional<time_point> m_next_check;
+};
+
+}  // namespace verbenahold
