--- /dev/null
+++ b/src/core/cost_model.cpp
@@ -0,0 +1,121 @@
+#include "cost_model.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace verbenahold {
+
+namespace {
+
+// Share of the newest sample in an average: about the last 20 samples count.
+constexpr double sample_weight = 0.1;
+// Output lengths vary widely and a prediction that is too low reserves too
+// little KV memory; two mean deviations above the mean cover most requests.
+constexpr double deviations_above_mean = 2;
+
+duration to_duration(double seconds) {
+    return std::chrono::round<duration>(std::chrono::duration<double>(seconds));
+}
+
+double to_seconds(duration time) {
+    return std::chrono::duration<double>(time).count();
+}
+
+}  // namespace
+
+length_class classify(std::int64_t uncached_tokens, std::int64_t total_tokens, std::int64_t kv_capacity_tokens) {
+    if (total_tokens > kv_capacity_tokens) {
+        return length_class::very_long_prompt;
+    }
+    if (uncached_tokens <= short_limit_tokens) {
+        return length_class::short_prompt;
+    }
+    return uncached_tokens <= medium_limit_tokens ? length_class::medium_prompt : length_class::long_prompt;
+}
+
+void cost_model::average::add(double value) {
+    if (!known) {
+        mean = value;
+        // As for round-trip times in RFC 6298: half of the first sample.
+        deviation = value / 2;
+        known = true;
+        return;
+    }
+    deviation += sample_weight * (std::abs(value - mean) - deviation);
+    mean += sample_weight * (value - mean);
+}
+
+std::size_t cost_model::speed_class(std::int64_t uncached_tokens) {
+    if (uncached_tokens <= short_limit_tokens) {
+        return 0;
+    }
+    return uncached_tokens <= medium_limit_tokens ? 1 : 2;
+}
+
+std::int64_t cost_model::predict_output(const service_name& service, const account_name& account,
+                                        std::int64_t max_tokens) const {
+    const auto costs = m_services.find(service);
+    if (costs == m_services.end() || !costs->second.output.known) {
+        return max_tokens;
+    }
+    const auto own = costs->second.output_by_account.find(account);
+    const average& output = own == costs->second.output_by_account.end() ? costs->second.output : own->second;
+    const double predicted = std::ceil(output.mean + deviations_above_mean * output.deviation);
+    if (predicted >= static_cast<double>(max_tokens)) {
+        return max_tokens;
+    }
+    return std::max(std::min<std::int64_t>(1, max_tokens), static_cast<std::int64_t>(predicted));
+}
+
+duration cost_model::predict_prefill(const service_name& service, std::int64_t uncached_tokens) const {
+    double seconds_per_token = to_seconds(first_prefill_per_token);
+    const auto costs = m_services.find(service);
+    if (costs != m_services.end()) {
+        // The nearest class that has samples; a shorter one before a longer.
+        const auto wanted = static_cast<std::ptrdiff_t>(speed_class(uncached_tokens));
+        for (const std::ptrdiff_t offset : {0, -1, -2, 1, 2}) {
+            const std::ptrdiff_t index = wanted + offset;
+            if (index < 0 || index >= std::ssize(costs->second.prefill)) {
+                continue;
+            }
+            const prefill_speed& speed = costs->second.prefill.at(static_cast<std::size_t>(index));
+            if (speed.tokens > 0) {
+                seconds_per_token = speed.seconds / speed.tokens;
+                break;
+            }
+        }
+    }
+    return to_duration(seconds_per_token * static_cast<double>(std::max<std::int64_t>(0, uncached_tokens)));
+}
+
+duration cost_model::predict_token_gap(const service_name& service) const {
+    const auto costs = m_services.find(service);
+    if (costs == m_services.end() || !costs->second.token_gap.known) {
+        return first_token_gap;
+    }
+    return to_duration(costs->second.token_gap.mean);
+}
+
+void cost_model::on_output(const service_name& service, const account_name& account, std::int64_t output_tokens) {
+    service_costs& costs = m_services[service];
+    costs.output.add(static_cast<double>(output_tokens));
+    costs.output_by_account[account].add(static_cast<double>(output_tokens));
+}
+
+void cost_model::on_prefill(const service_name& service, std::int64_t uncached_tokens, duration taken) {
+    if (uncached_tokens <= 0 || taken < duration::zero()) {
+        return;
+    }
+    prefill_speed& speed = m_services[service].prefill.at(speed_class(uncached_tokens));
+    speed.seconds = (1 - sample_weight) * speed.seconds + to_seconds(taken);
+    speed.tokens = (1 - sample_weight) * speed.tokens + static_cast<double>(uncached_tokens);
+}
+
+void cost_model::on_token_gap(const service_name& service, duration gap) {
+    if (gap < duration::zero()) {
+        return;
+    }
+    m_services[service].token_gap.add(to_seconds(gap));
+}
+
+}  // namespace verbenahold
--- /dev/null
+++ b/src/core/prefix_index.cpp
@@ -0,0 +1,180 @@
+#include "prefix_index.hpp"
+
+#include <algorithm>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace verbenahold {
+
+namespace {
+
+// Number of leading hashes that `known` accepts, if it accepts a prefix before
+// every longer one; a million tokens have 976 hashes, of which this looks at
+// ten. A gap left by a cache event can hide longer prefixes.
+template <class Predicate>
+std::size_t count_known(std::span<const std::uint64_t> prefix_hashes, Predicate known) {
+    const auto end = std::partition_point(prefix_hashes.begin(), prefix_hashes.end(), known);
+    return static_cast<std::size_t>(end - prefix_hashes.begin());
+}
+
+}  // namespace
+
+std::int64_t count_prompt_tokens(std::string_view prompt) {
+    return (static_cast<std::int64_t>(prompt.size()) + bytes_per_token - 1) / bytes_per_token;
+}
+
+std::vector<std::uint64_t> hash_prefixes(std::string_view prompt) {
+    constexpr std::size_t block_bytes = prefix_block_tokens * bytes_per_token;
+    std::vector<std::uint64_t> hashes;
+    hashes.reserve(prompt.size() / block_bytes);
+    XXH64_state_t state;
+    XXH64_reset(&state, 0);
+    for (std::size_t end = block_bytes; end <= prompt.size(); end += block_bytes) {
+        XXH64_update(&state, prompt.data() + (end - block_bytes), block_bytes);
+        hashes.push_back(XXH64_digest(&state));
+    }
+    return hashes;
+}
+
+prefix_index::prefix_index(std::size_t capacity) : m_capacity(capacity) {}
+
+prefix_index::holder prefix_index::slot_for(const server_name& server) {
+    const auto found = m_slot_by_name.find(server);
+    if (found != m_slot_by_name.end()) {
+        return {found->second, m_slots[found->second].generation};
+    }
+    std::uint32_t slot = 0;
+    if (m_free_slots.empty()) {
+        slot = static_cast<std::uint32_t>(m_slots.size());
+        m_slots.emplace_back();
+    } else {
+        slot = m_free_slots.back();
+        m_free_slots.pop_back();
+    }
+    m_slots[slot].name = server;
+    m_slots[slot].owner = {};
+    m_slot_by_name.emplace(server, slot);
+    return {slot, m_slots[slot].generation};
+}
+
+void prefix_index::store(std::uint64_t hash, holder by) {
+    const auto found = m_by_hash.find(hash);
+    if (found == m_by_hash.end()) {
+        m_entries.push_front({hash, 1, {by}});
+        m_by_hash.emplace(hash, m_entries.begin());
+        if (m_entries.size() > m_capacity) {
+            m_by_hash.erase(m_entries.back().hash);
+            m_entries.pop_back();
+        }
+        return;
+    }
+    entry& known = *found->second;
+    m_entries.splice(m_entries.begin(), m_entries, found->second);
+    const auto end = known.holders.begin() + static_cast<std::ptrdiff_t>(known.holder_count);
+    auto place = std::find(known.holders.begin(), end, by);
+    if (place == known.holders.end()) {
+        --place;
+    } else if (place == end) {
+        ++known.holder_count;
+    }
+    *place = by;
+    std::rotate(known.holders.begin(), place, place + 1);
+}
+
+void prefix_index::drop(std::uint64_t hash, holder by) {
+    const auto found = m_by_hash.find(hash);
+    if (found == m_by_hash.end()) {
+        return;
+    }
+    entry& known = *found->second;
+    const auto end = known.holders.begin() + static_cast<std::ptrdiff_t>(known.holder_count);
+    known.holder_count = static_cast<std::size_t>(std::remove(known.holders.begin(), end, by) - known.holders.begin());
+    if (known.holder_count == 0) {
+        m_entries.erase(found->second);
+        m_by_hash.erase(found);
+    }
+}
+
+void prefix_index::on_completed(const server_name& server, const daemon_id& owner,
+                                std::span<const std::uint64_t> prefix_hashes, std::int64_t /*cached_tokens*/) {
+    const holder by = slot_for(server);
+    m_slots[by.slot].owner = owner;
+    // Shorter prefixes are stored later, so that they are evicted later.
+    for (auto hash = prefix_hashes.rbegin(); hash != prefix_hashes.rend(); ++hash) {
+        store(*hash, by);
+    }
+}
+
+void prefix_index::on_cache_event(const server_name& server, std::uint64_t prefix_hash, bool stored) {
+    if (stored) {
+        store(prefix_hash, slot_for(server));
+        return;
+    }
+    const auto found = m_slot_by_name.find(server);
+    if (found != m_slot_by_name.end()) {
+        drop(prefix_hash, {found->second, m_slots[found->second].generation});
+    }
+}
+
+void prefix_index::forget_server(const server_name& server) {
+    const auto found = m_slot_by_name.find(server);
+    if (found == m_slot_by_name.end()) {
+        return;
+    }
+    ++m_slots[found->second].generation;
+    m_free_slots.push_back(found->second);
+    m_slot_by_name.erase(found);
+}
+
+const prefix_index::server_slot* prefix_index::live_slot(holder by) const {
+    const server_slot& slot = m_slots[by.slot];
+    return slot.generation == by.generation ? &slot : nullptr;
+}
+
+const prefix_index::server_slot* prefix_index::latest_holder(std::uint64_t hash) const {
+    const auto found = m_by_hash.find(hash);
+    if (found == m_by_hash.end()) {
+        return nullptr;
+    }
+    const entry& known = *found->second;
+    for (std::size_t index = 0; index < known.holder_count; ++index) {
+        const server_slot* slot = live_slot(known.holders.at(index));
+        if (slot != nullptr && !slot->owner.host.empty()) {
+            return slot;
+        }
+    }
+    return nullptr;
+}
+
+bool prefix_index::holds(holder by, std::uint64_t hash) const {
+    const auto found = m_by_hash.find(hash);
+    if (found == m_by_hash.end()) {
+        return false;
+    }
+    const entry& known = *found->second;
+    const auto end = known.holders.begin() + static_cast<std::ptrdiff_t>(known.holder_count);
+    return std::find(known.holders.begin(), end, by) != end;
+}
+
+std::optional<prefix_index::hit> prefix_index::find(std::span<const std::uint64_t> prefix_hashes) const {
+    const std::size_t count =
+        count_known(prefix_hashes, [this](std::uint64_t hash) { return latest_holder(hash) != nullptr; });
+    if (count == 0) {
+        return std::nullopt;
+    }
+    const server_slot* slot = latest_holder(prefix_hashes[count - 1]);
+    return hit{slot->name, slot->owner, static_cast<std::int64_t>(count) * prefix_block_tokens};
+}
+
+std::int64_t prefix_index::cached_on(const server_name& server, std::span<const std::uint64_t> prefix_hashes) const {
+    const auto found = m_slot_by_name.find(server);
+    if (found == m_slot_by_name.end()) {
+        return 0;
+    }
+    const holder by{found->second, m_slots[found->second].generation};
+    const std::size_t count = count_known(prefix_hashes, [&](std::uint64_t hash) { return holds(by, hash); });
+    return static_cast<std::int64_t>(count) * prefix_block_tokens;
+}
+
+}  // namespace verbenahold
--- /dev/null
+++ b/src/core/retry_budget.cpp
@@ -0,0 +1,25 @@
+#include "retry_budget.hpp"
+
+#include <algorithm>
+
+namespace verbenahold {
+
+void retry_budget::on_completed() {
+    m_credit = std::min(largest_retry_credit, m_credit + retry_credit_per_completion);
+}
+
+bool retry_budget::take() {
+    // Ten credits of a tenth add up to slightly less than one.
+    constexpr double rounding = 1e-9;
+    if (m_credit < 1 - rounding) {
+        return false;
+    }
+    m_credit = std::max(0.0, m_credit - 1);
+    return true;
+}
+
+double retry_budget::credit() const {
+    return m_credit;
+}
+
+}  // namespace verbenahold
