Split gossip and probing from the member table

Change: gossip_queue holds what rides on probes and the byte budget (800 bytes a second, since summaries take 900 of the 2,000); membership_probes.cpp holds the probing. is_live is true for leaving daemons.

--- /dev/null
+++ b/src/core/gossip_queue.cpp
@@ -0,0 +1,110 @@
+#include "gossip_queue.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace verbenahold {
+
+namespace {
+
+constexpr std::size_t updates_for_message = 6;
+constexpr std::size_t strikes_for_message = 4;
+// Part of a daemon's 2,000 bytes of control traffic a second; summaries take
+// 900 bytes, configuration and account limits the rest.
+constexpr double budget_bytes_for_second = 800;
+constexpr double budget_burst_bytes = 2'000;
+// Incarnation, refutation, state, tags and lengths of one update.
+constexpr std::size_t update_overhead_bytes = 22;
+constexpr std::size_t strike_bytes = 18;
+
+}  // namespace
+
+std::size_t encoded_bytes(const member_update& update) {
+    return update_overhead_bytes + update.daemon.host.value.size() + update.zone.value.size() +
+           update.peer_endpoint.address.size() + update.caller_endpoint.address.size();
+}
+
+void gossip_queue::refill(time_point now) {
+    if (!m_started) {
+        m_started = true;
+        m_refilled = now;
+        m_budget_bytes = budget_burst_bytes;
+    }
+    const std::chrono::duration<double> passed = now - std::exchange(m_refilled, now);
+    m_budget_bytes = std::min(budget_burst_bytes, m_budget_bytes + passed.count() * budget_bytes_for_second);
+}
+
+void gossip_queue::spend(std::size_t bytes) {
+    m_budget_bytes = std::max(-budget_burst_bytes, m_budget_bytes - static_cast<double>(bytes));
+}
+
+bool gossip_queue::has_reserve() const {
+    return m_budget_bytes > budget_burst_bytes / 4;
+}
+
+bool gossip_queue::can_afford(std::size_t bytes) const {
+    return m_budget_bytes >= static_cast<double>(bytes);
+}
+
+void gossip_queue::push(const host_name& host) {
+    std::erase_if(m_updates, [&](const pending_update& pending) { return pending.host == host; });
+    m_updates.push_back({host, 0});
+}
+
+void gossip_queue::set_strikes(std::span<const crash_strike> strikes) {
+    std::vector<pending_strike> next;
+    next.reserve(strikes.size());
+    for (const crash_strike& strike : strikes) {
+        const auto is_same = [&](const pending_strike& pending) {
+            return pending.strike.fingerprint == strike.fingerprint && pending.strike.strikes == strike.strikes;
+        };
+        const auto old = std::ranges::find_if(m_strikes, is_same);
+        next.push_back({strike, old == m_strikes.end() ? 0 : old->sent});
+    }
+    m_strikes = std::move(next);
+}
+
+bool gossip_queue::append(gossip_payload& gossip, const member_update& update) {
+    const auto is_same = [&](const member_update& other) { return other.daemon.host == update.daemon.host; };
+    const std::size_t bytes = encoded_bytes(update);
+    if (update.daemon.incarnation == 0 || gossip.updates.size() >= updates_for_message || !can_afford(bytes) ||
+        std::ranges::any_of(gossip.updates, is_same)) {
+        return false;
+    }
+    spend(bytes);
+    gossip.updates.push_back(update);
+    return true;
+}
+
+void gossip_queue::append_required(gossip_payload& gossip, const member_update& update) {
+    spend(encoded_bytes(update));
+    gossip.updates.push_back(update);
+}
+
+void gossip_queue::append_news(gossip_payload& gossip, int transmissions, const lookup& known) {
+    std::ranges::stable_sort(m_updates, {}, &pending_update::sent);
+    for (pending_update& pending : m_updates) {
+        if (gossip.updates.size() >= updates_for_message) {
+            break;
+        }
+        pending.sent += append(gossip, known(pending.host)) ? 1 : 0;
+    }
+    std::erase_if(m_updates, [&](const pending_update& pending) { return pending.sent >= transmissions; });
+    append_strikes(gossip, transmissions);
+}
+
+void gossip_queue::append_strikes(gossip_payload& gossip, int transmissions) {
+    std::ranges::stable_sort(m_strikes, {}, &pending_strike::sent);
+    for (pending_strike& pending : m_strikes) {
+        const bool full = gossip.strikes.size() >= strikes_for_message;
+        if (full || pending.sent >= transmissions || !can_afford(strike_bytes)) {
+            return;
+        }
+        spend(strike_bytes);
+        ++pending.sent;
+        gossip.strikes.push_back(pending.strike);
+    }
+}
+
+}  // namespace verbenahold
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -8,49 +8,24 @@
 
 namespace {
 
-using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr milliseconds probe_interval{500};
-constexpr milliseconds direct_answer_limit{300};
-constexpr seconds suspicion_limit{2};
-constexpr int indirect_probes = 2;
-constexpr std::size_t updates_for_message = 6;
-constexpr std::size_t strikes_for_message = 4;
-// A tick later than this means that the process was paused, so unanswered
-// probes say nothing of the peers.
-constexpr milliseconds pause_limit{1'000};
+constexpr int join_help_updates = 6;
 // Dead members are probed for this long after they left the host list, so
 // that regions find each other again after an hour without contact.
 constexpr std::chrono::hours dead_retention{2};
 // A new member is sent more of the member list for this long.
 constexpr seconds join_help_time{10};
-constexpr seconds join_limit{15};
-constexpr seconds relay_limit{2};
 // The first question about an unknown daemon can come before the gossip that
 // introduces it.
 constexpr seconds unknown_grace{10};
 constexpr std::size_t most_unknown_asked = 1'024;
 
-// Half of a daemon's 2,000 bytes of control traffic a second; the other half
-// is for summaries, configuration and account limits.
-constexpr double budget_bytes_for_second = 1'000;
-constexpr double budget_burst_bytes = 2'000;
-// Ids, framing, flags and versions of one message.
-constexpr std::size_t message_overhead_bytes = 56;
-constexpr std::size_t update_overhead_bytes = 22;
-constexpr std::size_t strike_bytes = 18;
-
-std::size_t encoded_bytes(const member_update& update) {
-    return update_overhead_bytes + update.daemon.host.value.size() + update.zone.value.size() +
-           update.peer_endpoint.address.size() + update.caller_endpoint.address.size();
-}
-
 bool is_better(const member_update& update, std::uint32_t refutation, member_state state) {
     return update.refutation > refutation || (update.refutation == refutation && update.state > state);
 }
 
-bool counts_as_live(member_state state) {
+bool takes_work(member_state state) {
     return state == member_state::alive || state == member_state::suspect;
 }
 
@@ -68,8 +43,6 @@
     return "dead";
 }
 
-constexpr std::size_t no_index = static_cast<std::size_t>(-1);
-
 }  // namespace
 
 membership::membership(const entry_settings& settings, std::uint64_t seed) : m_settings(settings), m_random(seed) {}
@@ -81,20 +54,18 @@
     m_started = now;
     m_last_tick = now;
     m_next_probe = now;
-    m_budget_bytes = budget_burst_bytes;
-    m_budget_time = now;
 }
 
 // ---- the member table
 
 std::size_t membership::index_of(const host_name& host) const {
     const auto found = m_index.find(host);
-    return found == m_index.end() ? no_index : found->second;
+    return found == m_index.end() ? no_member : found->second;
 }
 
 const endpoint* membership::endpoint_of(const host_name& host) const {
     const std::size_t index = index_of(host);
-    if (index != no_index && !m_members[index].peer_endpoint.address.empty()) {
+    if (index != no_member && !m_members[index].peer_endpoint.address.empty()) {
         return &m_members[index].peer_endpoint;
     }
     const auto found = m_candidates.find(host);
@@ -147,7 +118,7 @@
         }
     }
     m_peers[index].heard = heard;
-    enqueue_update(host);
+    m_gossip.push(host);
     refresh_shown_state(index, now, out);
 }
 
@@ -155,13 +126,13 @@
     member& shown = m_members[index];
     member_state state = m_peers[index].heard;
     const auto listed = m_candidates.find(shown.daemon.host);
-    if (counts_as_live(state) && listed != m_candidates.end() && listed->second.leaving) {
+    if (takes_work(state) && listed != m_candidates.end() && listed->second.leaving) {
         state = member_state::leaving;
     }
     if (state == shown.state) {
         return;
     }
-    if (counts_as_live(state) != counts_as_live(shown.state)) {
+    if (takes_work(state) != takes_work(shown.state)) {
         ++m_view_version;
     }
     shown.state = state;
@@ -191,13 +162,13 @@
         return;
     }
     if (update.daemon.incarnation < m_settings.self.incarnation) {
-        enqueue_update(m_settings.self.host);
+        m_gossip.push(m_settings.self.host);
         return;
     }
     const member_state own = leaving() ? member_state::leaving : member_state::alive;
     if (update.state != own && update.refutation >= m_refutation) {
         m_refutation = update.refutation + 1;
-        enqueue_update(m_settings.self.host);
+        m_gossip.push(m_settings.self.host);
         out.push_back(count{"membership_refutations"});
     }
 }
@@ -211,7 +182,7 @@
         return;
     }
     const std::size_t index = index_of(update.daemon.host);
-    if (index == no_index) {
+    if (index == no_member) {
         if (update.state != member_state::dead) {
             add_member(update, now, out);
         }
@@ -222,7 +193,7 @@
         return;
     }
     if (update.daemon.incarnation > known.daemon.incarnation) {
-        const bool was_live = counts_as_live(known.state);
+        const bool was_live = takes_work(known.state);
         const endpoint old_endpoint = known.peer_endpoint;
         known = member{};
         known.daemon = update.daemon;
@@ -259,13 +230,13 @@
     }
     std::size_t index = index_of(from.host);
     const auto listed = m_candidates.find(from.host);
-    const bool is_new = index == no_index || m_members[index].daemon.incarnation < from.incarnation;
+    const bool is_new = index == no_member || m_members[index].daemon.incarnation < from.incarnation;
     if (is_new && listed != m_candidates.end()) {
         const candidate& host = listed->second;
         apply_update({from, host.zone, host.peer_endpoint, host.caller_endpoint, member_state::alive, 0}, now, out);
         index = index_of(from.host);
     }
-    if (index == no_index || m_members[index].daemon != from) {
+    if (index == no_member || m_members[index].daemon != from) {
         return false;
     }
     member& sender = m_members[index];
@@ -295,11 +266,6 @@
     return static_cast<int>(std::ceil(times * std::log2(members)));
 }
 
-void membership::enqueue_update(const host_name& host) {
-    std::erase_if(m_pending, [&](const pending_update& pending) { return pending.host == host; });
-    m_pending.push_back({host, 0});
-}
-
 member_update membership::update_of(const host_name& host) const {
     if (host == m_settings.self.host) {
         const member_state state = leaving() ? member_state::leaving : member_state::alive;
@@ -307,7 +273,7 @@
                 state,           m_refutation};
     }
     const std::size_t index = index_of(host);
-    if (index == no_index) {
+    if (index == no_member) {
         return {};
     }
     const member& known = m_members[index];
@@ -315,44 +281,16 @@
             known.caller_endpoint, m_peers[index].heard, known.refutation};
 }
 
-bool membership::append_update(gossip_payload& gossip, const host_name& host) {
-    const auto is_same = [&](const member_update& update) { return update.daemon.host == host; };
-    if (gossip.updates.size() >= updates_for_message || std::ranges::any_of(gossip.updates, is_same)) {
-        return false;
-    }
-    member_update update = update_of(host);
-    const std::size_t bytes = encoded_bytes(update);
-    if (update.daemon.incarnation == 0 || m_budget_bytes < static_cast<double>(bytes)) {
-        return false;
-    }
-    spend(bytes);
-    gossip.updates.push_back(std::move(update));
-    return true;
-}
-
 void membership::append_filler(gossip_payload& gossip, const host_name& to, int count) {
     for (std::size_t looked = 0; count > 0 && looked < m_members.size(); ++looked) {
         const member& next = m_members[m_filler_cursor++ % m_members.size()];
-        if (next.state != member_state::dead && next.daemon.host != to && append_update(gossip, next.daemon.host)) {
+        if (next.state != member_state::dead && next.daemon.host != to &&
+            m_gossip.append(gossip, update_of(next.daemon.host))) {
             --count;
         }
     }
 }
 
-void membership::append_strikes(gossip_payload& gossip) {
-    std::ranges::stable_sort(m_strikes, {}, &pending_strike::sent);
-    const int limit = transmissions();
-    for (pending_strike& pending : m_strikes) {
-        const bool full = gossip.strikes.size() >= strikes_for_message;
-        if (full || pending.sent >= limit || m_budget_bytes < static_cast<double>(strike_bytes)) {
-            return;
-        }
-        spend(strike_bytes);
-        ++pending.sent;
-        gossip.strikes.push_back(pending.strike);
-    }
-}
-
 gossip_payload membership::make_gossip(const host_name& to, bool with_self, int filler) {
     gossip_payload gossip;
     gossip.config_version = m_config_version;
@@ -360,24 +298,16 @@
     gossip.oldest_schema = static_cast<std::uint8_t>(oldest_schema_version);
     gossip.newest_schema = static_cast<std::uint8_t>(newest_schema_version);
     if (with_self) {
-        // The receiver needs this to know the sender, so it is sent even when
-        // the budget is used up.
-        gossip.updates.push_back(update_of(m_settings.self.host));
-        spend(encoded_bytes(gossip.updates.back()));
+        // The receiver needs this to know the sender.
+        m_gossip.append_required(gossip, update_of(m_settings.self.host));
     }
     const std::size_t index = index_of(to);
-    const bool must_refute = index != no_index && m_peers[index].heard != member_state::alive &&
-                             m_peers[index].heard != member_state::leaving;
-    if (must_refute) {
-        append_update(gossip, to);
-    }
-    std::ranges::stable_sort(m_pending, {}, &pending_update::sent);
-    const int limit = transmissions();
-    for (pending_update& pending : m_pending) {
-        pending.sent += append_update(gossip, pending.host) ? 1 : 0;
-    }
-    std::erase_if(m_pending, [&](const pending_update& pending) { return pending.sent >= limit; });
-    append_strikes(gossip);
+    const bool is_accused = index != no_member && (m_peers[index].heard == member_state::suspect ||
+                                                   m_peers[index].heard == member_state::dead);
+    if (is_accused) {
+        m_gossip.append_required(gossip, update_of(to));
+    }
+    m_gossip.append_news(gossip, transmissions(), [this](const host_name& host) { return update_of(host); });
     append_filler(gossip, to, filler);
     return gossip;
 }
@@ -388,33 +318,14 @@
 }
 
 void membership::announce_strikes(std::span<const crash_strike> strikes) {
-    std::vector<pending_strike> next;
-    next.reserve(strikes.size());
-    for (const crash_strike& strike : strikes) {
-        const auto is_same = [&](const pending_strike& pending) {
-            return pending.strike.fingerprint == strike.fingerprint && pending.strike.strikes == strike.strikes;
-        };
-        const auto old = std::ranges::find_if(m_strikes, is_same);
-        next.push_back({strike, old == m_strikes.end() ? 0 : old->sent});
-    }
-    m_strikes = std::move(next);
-}
-
-void membership::refill(time_point now) {
-    const std::chrono::duration<double> passed = now - m_budget_time;
-    m_budget_time = now;
-    m_budget_bytes = std::min(budget_burst_bytes, m_budget_bytes + passed.count() * budget_bytes_for_second);
-}
-
-void membership::spend(std::size_t bytes) {
-    m_budget_bytes = std::max(-budget_burst_bytes, m_budget_bytes - static_cast<double>(bytes));
+    m_gossip.set_strikes(strikes);
 }
 
 // ---- host list
 
 void membership::on_host_list(std::span<const host_entry> hosts, time_point now, std::vector<entry_command>& out) {
     start(now);
-    refill(now);
+    m_gossip.refill(now);
     std::map<host_name, candidate> listed;
     bool self_leaving = false;
     for (const host_entry& host : hosts) {
@@ -442,7 +353,7 @@
         m_host_leaving = self_leaving;
         ++m_refutation;
         ++m_view_version;
-        enqueue_update(m_settings.self.host);
+        m_gossip.push(m_settings.self.host);
     }
 }
 
@@ -451,7 +362,7 @@
 void membership::on_probe(const daemon_id& from, const probe& message, time_point now,
                           std::vector<entry_command>& out) {
     start(now);
-    refill(now);
+    m_gossip.refill(now);
     if (!take_gossip(from, message.gossip, now, out)) {
         return;
     }
@@ -461,25 +372,24 @@
     };
     const bool refute = std::ranges::any_of(message.gossip.updates, accuses_self);
     const bool joining = now - m_peers[index].first_known < join_help_time;
-    spend(message_overhead_bytes);
-    probe_ack ack{message.sequence,
-                  make_gossip(from.host, refute || joining, joining ? static_cast<int>(updates_for_message) : 1)};
+    m_gossip.spend(gossip_message_bytes);
+    probe_ack ack{message.sequence, make_gossip(from.host, refute || joining, joining ? join_help_updates : 1)};
     push_message(from, m_members[index].peer_endpoint, std::move(ack), out);
 }
 
 void membership::on_probe_ack(const daemon_id& from, const probe_ack& message, time_point now,
                               std::vector<entry_command>& out) {
     start(now);
-    refill(now);
+    m_gossip.refill(now);
     const bool known = take_gossip(from, message.gossip, now, out);
     const auto relayed = m_relayed.find(message.sequence);
     if (relayed != m_relayed.end()) {
         const relayed_probe relay = relayed->second;
         m_relayed.erase(relayed);
-        spend(message_overhead_bytes);
+        m_gossip.spend(gossip_message_bytes);
         probe_ack forwarded{relay.asker_sequence, {}};
         // The asker learns of the target itself before other news.
-        enqueue_update(from.host);
+        m_gossip.push(from.host);
         forwarded.gossip = make_gossip(relay.asker.host, false, 0);
         send(relay.asker, std::move(forwarded), out);
         return;
@@ -506,26 +416,26 @@
 void membership::on_probe_request(const daemon_id& from, const probe_request& message, time_point now,
                                   std::vector<entry_command>& out) {
     start(now);
-    refill(now);
+    m_gossip.refill(now);
     const endpoint* address = endpoint_of(message.target.host);
     if (address == nullptr) {
         return;
     }
     const std::size_t index = index_of(message.target.host);
-    const daemon_id target = index == no_index ? message.target : m_members[index].daemon;
+    const daemon_id target = index == no_member ? message.target : m_members[index].daemon;
     const std::uint64_t sequence = ++m_sequence;
     m_relayed[sequence] = {from, message.sequence, now};
-    spend(message_overhead_bytes);
+    m_gossip.spend(gossip_message_bytes);
     push_message(target, *address, probe{sequence, make_gossip(target.host, true, 0)}, out);
 }
 
 void membership::on_leave(const daemon_id& from, time_point now, std::vector<entry_command>& out) {
     start(now);
     const std::size_t index = index_of(from.host);
-    if (index == no_index || m_members[index].daemon != from) {
+    if (index == no_member || m_members[index].daemon != from) {
         return;
     }
-    if (counts_as_live(m_peers[index].heard)) {
+    if (takes_work(m_peers[index].heard)) {
         set_state(index, member_state::leaving, now, out);
     }
 }
@@ -538,7 +448,7 @@
     m_leave_begun = true;
     ++m_refutation;
     ++m_view_version;
-    enqueue_update(m_settings.self.host);
+    m_gossip.push(m_settings.self.host);
     for (const member& peer : m_members) {
         if (peer.state != member_state::dead) {
             push_message(peer.daemon, peer.peer_endpoint, leave{}, out);
@@ -546,189 +456,6 @@
     }
 }
 
-// ---- probing
-
-void membership::start_round() {
-    for (const member& known : m_members) {
-        m_round.push_back(known.daemon.host);
-    }
-    for (const auto& [host, listed] : m_candidates) {
-        if (!m_index.contains(host)) {
-            m_round.push_back(host);
-        }
-    }
-    std::ranges::shuffle(m_round, m_random);
-}
-
-bool membership::is_waited_for(const host_name& host) const {
-    return std::ranges::find(m_outstanding, host, &outstanding_probe::target) != m_outstanding.end();
-}
-
-std::optional<host_name> membership::next_target() {
-    // A suspect is asked once more before its time is over: the probe carries
-    // the accusation, so a daemon that lost one message can refute it.
-    for (const host_name& host : m_suspects) {
-        if (std::exchange(m_peers[index_of(host)].ask_again, false) && endpoint_of(host) != nullptr) {
-            return host;
-        }
-    }
-    if (m_round.empty()) {
-        start_round();
-    }
-    while (!m_round.empty()) {
-        host_name host = std::move(m_round.back());
-        m_round.pop_back();
-        if (endpoint_of(host) != nullptr && !is_waited_for(host)) {
-            return host;
-        }
-    }
-    return std::nullopt;
-}
-
-void membership::send_probe(const host_name& target, time_point now, std::vector<entry_command>& out) {
-    const endpoint* address = endpoint_of(target);
-    const std::size_t index = index_of(target);
-    const daemon_id to = index == no_index ? daemon_id{target, 0} : m_members[index].daemon;
-    const std::uint64_t sequence = ++m_sequence;
-    m_outstanding.push_back({sequence, target, now, false});
-    spend(message_overhead_bytes);
-    push_message(to, *address, probe{sequence, make_gossip(target, true, 0)}, out);
-}
-
-void membership::probe_peers(time_point now, std::vector<entry_command>& out) {
-    if (now >= m_next_probe) {
-        const time_point planned = m_next_probe + probe_interval;
-        m_next_probe = planned > now ? planned : now + probe_interval;
-        if (const auto target = next_target()) {
-            send_probe(*target, now, out);
-        }
-    }
-    if (m_joined || !m_has_host_list) {
-        return;
-    }
-    // While joining, every candidate is asked as fast as the budget allows.
-    for (const auto& entry : m_candidates) {
-        const host_name& host = entry.first;
-        if (m_budget_bytes > budget_burst_bytes / 4 && !entry.second.tried && !is_waited_for(host) &&
-            endpoint_of(host) != nullptr) {
-            send_probe(host, now, out);
-        }
-    }
-}
-
-void membership::ask_others(outstanding_probe& outstanding, std::vector<entry_command>& out) {
-    outstanding.asked_others = true;
-    std::vector<std::size_t> helpers;
-    for (std::size_t index = 0; index < m_members.size(); ++index) {
-        if (m_members[index].state == member_state::alive && m_members[index].daemon.host != outstanding.target) {
-            helpers.push_back(index);
-        }
-    }
-    const std::size_t target_index = index_of(outstanding.target);
-    const daemon_id target =
-        target_index == no_index ? daemon_id{outstanding.target, 0} : m_members[target_index].daemon;
-    for (int asked = 0; asked < indirect_probes && !helpers.empty(); ++asked) {
-        const std::size_t pick = m_random() % helpers.size();
-        const member& helper = m_members[helpers[pick]];
-        spend(message_overhead_bytes);
-        push_message(helper.daemon, helper.peer_endpoint, probe_request{outstanding.sequence, target}, out);
-        helpers.erase(helpers.begin() + static_cast<std::ptrdiff_t>(pick));
-    }
-}
-
-void membership::check_outstanding(time_point now, std::vector<entry_command>& out) {
-    for (outstanding_probe& outstanding : m_outstanding) {
-        const std::size_t index = index_of(outstanding.target);
-        const bool is_live = index != no_index && m_peers[index].heard != member_state::dead;
-        if (is_live && !outstanding.asked_others && now - outstanding.sent >= direct_answer_limit) {
-            ask_others(outstanding, out);
-        }
-        if (now - outstanding.sent < probe_interval) {
-            continue;
-        }
-        if (is_live) {
-            suspect(index, now, out);
-        }
-        if (const auto listed = m_candidates.find(outstanding.target); listed != m_candidates.end()) {
-            listed->second.tried = true;
-        }
-    }
-    std::erase_if(m_outstanding,
-                  [&](const outstanding_probe& outstanding) { return now - outstanding.sent >= probe_interval; });
-    std::erase_if(m_relayed, [&](const auto& relay) { return now - relay.second.sent >= relay_limit; });
-}
-
-void membership::suspect(std::size_t index, time_point now, std::vector<entry_command>& out) {
-    const host_name& host = m_members[index].daemon.host;
-    m_peers[index].ask_again = true;
-    if (m_peers[index].heard == member_state::alive) {
-        set_state(index, member_state::suspect, now, out);
-    } else if (std::ranges::find(m_suspects, host) == m_suspects.end()) {
-        // A leaving daemon stays marked as leaving, so that it does not own
-        // servers again, while it gets the same time to answer.
-        m_peers[index].suspect_since = now;
-        m_suspects.push_back(host);
-    }
-}
-
-void membership::check_suspects(time_point now, std::vector<entry_command>& out) {
-    const std::vector<host_name> suspects = m_suspects;
-    for (const host_name& host : suspects) {
-        const std::size_t index = index_of(host);
-        if (index != no_index && now - m_peers[index].suspect_since >= suspicion_limit) {
-            set_state(index, member_state::dead, now, out);
-        }
-    }
-}
-
-void membership::resume_after_pause(time_point now) {
-    m_outstanding.clear();
-    m_relayed.clear();
-    for (const host_name& host : m_suspects) {
-        m_peers[index_of(host)].suspect_since = now;
-    }
-}
-
-void membership::check_joined(time_point now) {
-    if (m_joined || !m_first_list) {
-        return;
-    }
-    const auto is_settled = [&](const auto& listed) { return listed.second.tried || m_index.contains(listed.first); };
-    if (std::ranges::all_of(m_candidates, is_settled) || now - *m_first_list > join_limit) {
-        m_joined = true;
-        ++m_view_version;
-    }
-}
-
-void membership::on_tick(time_point now, std::vector<entry_command>& out) {
-    start(now);
-    refill(now);
-    if (now - m_last_tick > pause_limit) {
-        resume_after_pause(now);
-    }
-    m_last_tick = now;
-    check_outstanding(now, out);
-    check_suspects(now, out);
-    forget_old_members(now);
-    probe_peers(now, out);
-    check_joined(now);
-}
-
-std::optional<time_point> membership::next_wakeup() const {
-    if (!m_started) {
-        return time_point{};
-    }
-    time_point next = m_next_probe;
-    for (const outstanding_probe& outstanding : m_outstanding) {
-        next = std::min(next, outstanding.sent + (outstanding.asked_others ? duration(probe_interval)
-                                                                           : duration(direct_answer_limit)));
-    }
-    for (const host_name& host : m_suspects) {
-        next = std::min(next, m_peers[index_of(host)].suspect_since + suspicion_limit);
-    }
-    return next;
-}
-
 // ---- questions
 
 const daemon_id& membership::self() const {
@@ -741,7 +468,7 @@
 
 const member* membership::find(const daemon_id& daemon) const {
     const std::size_t index = index_of(daemon.host);
-    return index != no_index && m_members[index].daemon == daemon ? &m_members[index] : nullptr;
+    return index != no_member && m_members[index].daemon == daemon ? &m_members[index] : nullptr;
 }
 
 bool membership::is_live(const daemon_id& daemon) const {
@@ -749,7 +476,7 @@
         return true;
     }
     const member* known = find(daemon);
-    return known != nullptr && counts_as_live(known->state);
+    return known != nullptr && known->state != member_state::dead;
 }
 
 bool membership::is_dead_for(const daemon_id& daemon, duration age, time_point now) const {
@@ -757,7 +484,7 @@
         return daemon.incarnation < m_settings.self.incarnation && m_started && now - *m_started >= age;
     }
     const std::size_t index = index_of(daemon.host);
-    if (index != no_index && m_members[index].daemon.incarnation >= daemon.incarnation) {
+    if (index != no_member && m_members[index].daemon.incarnation >= daemon.incarnation) {
         const member& known = m_members[index];
         if (known.daemon.incarnation > daemon.incarnation) {
             return now - m_peers[index].first_known >= age;
--- a/src/core/membership.hpp
+++ b/src/core/membership.hpp
@@ -2,6 +2,8 @@
 // gossip, within a fixed number of bytes each second.
 #pragma once
 
+#include "gossip_queue.hpp"
+
 #include "verbenahold/commands.hpp"
 #include "verbenahold/entry_core.hpp"
 #include "verbenahold/messages.hpp"
@@ -63,7 +65,8 @@
     // Every known daemon other than this one, dead ones for a while too.
     [[nodiscard]] std::span<const member> members() const;
     [[nodiscard]] const member* find(const daemon_id& daemon) const;
-    // True for alive and suspect daemons, and for this one.
+    // True for alive, suspect and leaving daemons, and for this one: a leaving
+    // daemon finishes what it runs.
     [[nodiscard]] bool is_live(const daemon_id& daemon) const;
     // True when the daemon was declared dead, or a newer incarnation of its
     // host is known, at least `age` before `now`.
@@ -108,14 +111,7 @@
         std::uint64_t asker_sequence = 0;
         time_point sent{};
     };
-    struct pending_update {
-        host_name host;
-        int sent = 0;
-    };
-    struct pending_strike {
-        crash_strike strike;
-        int sent = 0;
-    };
+    static constexpr std::size_t no_member = static_cast<std::size_t>(-1);
 
     void start(time_point now);
     void resume_after_pause(time_point now);
@@ -132,15 +128,10 @@
                      std::vector<entry_command>& out);
     void take_strikes(std::span<const crash_strike> strikes);
 
-    void enqueue_update(const host_name& host);
     [[nodiscard]] member_update update_of(const host_name& host) const;
     [[nodiscard]] int transmissions() const;
     gossip_payload make_gossip(const host_name& to, bool with_self, int filler);
-    bool append_update(gossip_payload& gossip, const host_name& host);
     void append_filler(gossip_payload& gossip, const host_name& to, int count);
-    void append_strikes(gossip_payload& gossip);
-    void spend(std::size_t bytes);
-    void refill(time_point now);
 
     void probe_peers(time_point now, std::vector<entry_command>& out);
     void send_probe(const host_name& target, time_point now, std::vector<entry_command>& out);
@@ -179,13 +170,10 @@
     std::vector<outstanding_probe> m_outstanding;
     std::map<std::uint64_t, relayed_probe> m_relayed;
     std::vector<host_name> m_suspects;
-    std::vector<pending_update> m_pending;
+    gossip_queue m_gossip;
     std::size_t m_filler_cursor = 0;
-    double m_budget_bytes = 0;
-    time_point m_budget_time{};
     std::uint64_t m_config_version = 0;
     bool m_config_confirmed = false;
-    std::vector<pending_strike> m_strikes;
     std::vector<crash_strike> m_received_strikes;
     // When is_dead_for was first asked about a daemon that is not known here.
     mutable std::unordered_map<daemon_id, time_point> m_unknown_asked;
--- /dev/null
+++ b/src/core/membership_probes.cpp
@@ -0,0 +1,206 @@
+// Probing of membership: whom to ask, when to suspect, when to give up.
+#include "membership.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace verbenahold {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr milliseconds probe_interval{500};
+constexpr milliseconds direct_answer_limit{300};
+constexpr seconds suspicion_limit{2};
+constexpr int indirect_probes = 2;
+// A tick later than this means that the process was paused, so unanswered
+// probes say nothing of the peers.
+constexpr milliseconds pause_limit{1'000};
+constexpr seconds join_limit{15};
+constexpr seconds relay_limit{2};
+
+}  // namespace
+
+void membership::start_round() {
+    for (const member& known : m_members) {
+        m_round.push_back(known.daemon.host);
+    }
+    for (const auto& [host, listed] : m_candidates) {
+        if (!m_index.contains(host)) {
+            m_round.push_back(host);
+        }
+    }
+    std::ranges::shuffle(m_round, m_random);
+}
+
+bool membership::is_waited_for(const host_name& host) const {
+    return std::ranges::find(m_outstanding, host, &outstanding_probe::target) != m_outstanding.end();
+}
+
+std::optional<host_name> membership::next_target() {
+    // A suspect is asked once more before its time is over: the probe carries
+    // the accusation, so a daemon that lost one message can refute it.
+    for (const host_name& host : m_suspects) {
+        if (std::exchange(m_peers[index_of(host)].ask_again, false) && endpoint_of(host) != nullptr) {
+            return host;
+        }
+    }
+    if (m_round.empty()) {
+        start_round();
+    }
+    while (!m_round.empty()) {
+        host_name host = std::move(m_round.back());
+        m_round.pop_back();
+        if (endpoint_of(host) != nullptr && !is_waited_for(host)) {
+            return host;
+        }
+    }
+    return std::nullopt;
+}
+
+void membership::send_probe(const host_name& target, time_point now, std::vector<entry_command>& out) {
+    const endpoint* address = endpoint_of(target);
+    const std::size_t index = index_of(target);
+    const daemon_id to = index == no_member ? daemon_id{target, 0} : m_members[index].daemon;
+    const std::uint64_t sequence = ++m_sequence;
+    m_outstanding.push_back({sequence, target, now, false});
+    m_gossip.spend(gossip_message_bytes);
+    push_message(to, *address, probe{sequence, make_gossip(target, true, 0)}, out);
+}
+
+void membership::probe_peers(time_point now, std::vector<entry_command>& out) {
+    if (now >= m_next_probe) {
+        const time_point planned = m_next_probe + probe_interval;
+        m_next_probe = planned > now ? planned : now + probe_interval;
+        if (const auto target = next_target()) {
+            send_probe(*target, now, out);
+        }
+    }
+    if (m_joined || !m_has_host_list) {
+        return;
+    }
+    // While joining, every candidate is asked as fast as the budget allows.
+    for (const auto& entry : m_candidates) {
+        const host_name& host = entry.first;
+        if (m_gossip.has_reserve() && !entry.second.tried && !is_waited_for(host) && endpoint_of(host) != nullptr) {
+            send_probe(host, now, out);
+        }
+    }
+}
+
+void membership::ask_others(outstanding_probe& outstanding, std::vector<entry_command>& out) {
+    outstanding.asked_others = true;
+    std::vector<std::size_t> helpers;
+    for (std::size_t index = 0; index < m_members.size(); ++index) {
+        if (m_members[index].state == member_state::alive && m_members[index].daemon.host != outstanding.target) {
+            helpers.push_back(index);
+        }
+    }
+    const std::size_t target_index = index_of(outstanding.target);
+    const daemon_id target =
+        target_index == no_member ? daemon_id{outstanding.target, 0} : m_members[target_index].daemon;
+    for (int asked = 0; asked < indirect_probes && !helpers.empty(); ++asked) {
+        const std::size_t pick = m_random() % helpers.size();
+        const member& helper = m_members[helpers[pick]];
+        m_gossip.spend(gossip_message_bytes);
+        push_message(helper.daemon, helper.peer_endpoint, probe_request{outstanding.sequence, target}, out);
+        helpers.erase(helpers.begin() + static_cast<std::ptrdiff_t>(pick));
+    }
+}
+
+void membership::check_outstanding(time_point now, std::vector<entry_command>& out) {
+    for (outstanding_probe& outstanding : m_outstanding) {
+        const std::size_t index = index_of(outstanding.target);
+        const bool is_live = index != no_member && m_peers[index].heard != member_state::dead;
+        if (is_live && !outstanding.asked_others && now - outstanding.sent >= direct_answer_limit) {
+            ask_others(outstanding, out);
+        }
+        if (now - outstanding.sent < probe_interval) {
+            continue;
+        }
+        if (is_live) {
+            suspect(index, now, out);
+        }
+        if (const auto listed = m_candidates.find(outstanding.target); listed != m_candidates.end()) {
+            listed->second.tried = true;
+        }
+    }
+    std::erase_if(m_outstanding,
+                  [&](const outstanding_probe& outstanding) { return now - outstanding.sent >= probe_interval; });
+    std::erase_if(m_relayed, [&](const auto& relay) { return now - relay.second.sent >= relay_limit; });
+}
+
+void membership::suspect(std::size_t index, time_point now, std::vector<entry_command>& out) {
+    const host_name& host = m_members[index].daemon.host;
+    m_peers[index].ask_again = true;
+    if (m_peers[index].heard == member_state::alive) {
+        set_state(index, member_state::suspect, now, out);
+    } else if (std::ranges::find(m_suspects, host) == m_suspects.end()) {
+        // A leaving daemon stays marked as leaving, so that it does not own
+        // servers again, while it gets the same time to answer.
+        m_peers[index].suspect_since = now;
+        m_suspects.push_back(host);
+    }
+}
+
+void membership::check_suspects(time_point now, std::vector<entry_command>& out) {
+    const std::vector<host_name> suspects = m_suspects;
+    for (const host_name& host : suspects) {
+        const std::size_t index = index_of(host);
+        if (index != no_member && now - m_peers[index].suspect_since >= suspicion_limit) {
+            set_state(index, member_state::dead, now, out);
+        }
+    }
+}
+
+void membership::resume_after_pause(time_point now) {
+    m_outstanding.clear();
+    m_relayed.clear();
+    for (const host_name& host : m_suspects) {
+        m_peers[index_of(host)].suspect_since = now;
+    }
+}
+
+void membership::check_joined(time_point now) {
+    if (m_joined || !m_first_list) {
+        return;
+    }
+    const auto is_settled = [&](const auto& listed) { return listed.second.tried || m_index.contains(listed.first); };
+    if (std::ranges::all_of(m_candidates, is_settled) || now - *m_first_list > join_limit) {
+        m_joined = true;
+        ++m_view_version;
+    }
+}
+
+void membership::on_tick(time_point now, std::vector<entry_command>& out) {
+    start(now);
+    m_gossip.refill(now);
+    if (now - m_last_tick > pause_limit) {
+        resume_after_pause(now);
+    }
+    m_last_tick = now;
+    check_outstanding(now, out);
+    check_suspects(now, out);
+    forget_old_members(now);
+    probe_peers(now, out);
+    check_joined(now);
+}
+
+std::optional<time_point> membership::next_wakeup() const {
+    if (!m_started) {
+        return time_point{};
+    }
+    time_point next = m_next_probe;
+    for (const outstanding_probe& outstanding : m_outstanding) {
+        next = std::min(next, outstanding.sent + (outstanding.asked_others ? duration(probe_interval)
+                                                                           : duration(direct_answer_limit)));
+    }
+    for (const host_name& host : m_suspects) {
+        next = std::min(next, m_peers[index_of(host)].suspect_since + suspicion_limit);
+    }
+    return next;
+}
+
+}  // namespace verbenahold
