--- a/src/core/caller_attempts.cpp
+++ b/src/core/caller_attempts.cpp
@@ -54,7 +54,7 @@
 }
 
 void caller_side::on_bounced(const daemon_id& from, const submit_bounced& message, context& ctx) {
-    m_summaries.on_summary(from, message.summary, ctx.now);
+    on_summary(from, message.summary, ctx);
     open_request* request = find_current(message.attempt, from);
     if (request == nullptr) {
         return;
@@ -85,7 +85,7 @@
 }
 
 void caller_side::on_accepted(const daemon_id& from, const submit_accepted& message, context& ctx) {
-    m_summaries.on_summary(from, message.summary, ctx.now);
+    on_summary(from, message.summary, ctx);
     open_request* request = find_current(message.attempt, from);
     if (request == nullptr) {
         return;
@@ -129,7 +129,7 @@
 }
 
 void caller_side::on_finished(const daemon_id& from, const attempt_finished& message, context& ctx) {
-    m_summaries.on_summary(from, message.summary, ctx.now);
+    on_summary(from, message.summary, ctx);
     open_request* request = find_current(message.attempt, from);
     if (request == nullptr) {
         return;
@@ -193,7 +193,7 @@
 }
 
 void caller_side::on_failed(const daemon_id& from, const attempt_failed& message, context& ctx) {
-    m_summaries.on_summary(from, message.summary, ctx.now);
+    on_summary(from, message.summary, ctx);
     open_request* request = find_current(message.attempt, from);
     if (request == nullptr) {
         return;
--- a/src/core/caller_side.cpp
+++ b/src/core/caller_side.cpp
@@ -201,6 +201,7 @@
     query.time_left = request.deadline - ctx.now;
     query.excluded = request.excluded;
     query.config = &ctx.config;
+    query.prefill_per_block = m_costs.predict_prefill(request.work.service, prefix_block_tokens);
     const auto choice = m_placement.choose(routing.policy, query, m_summaries, m_prefixes);
     if (!choice) {
         pause_placing(request, ctx);
@@ -292,8 +293,10 @@
     return request.may_have_run ? ran_state::unknown : ran_state::no;
 }
 
-void caller_side::on_summary(const daemon_id& from, const owner_summary& summary, time_point now) {
-    m_summaries.on_summary(from, summary, now);
+void caller_side::on_summary(const daemon_id& from, const owner_summary& summary, const context& ctx) {
+    if (ctx.members.is_live(from)) {
+        m_summaries.on_summary(from, summary, ctx.now);
+    }
 }
 
 std::optional<time_point> caller_side::next_wakeup() const {
--- a/src/core/caller_side.hpp
+++ b/src/core/caller_side.hpp
@@ -74,7 +74,8 @@
     void on_replied(const daemon_id& from, const attempt_replied& message, context& ctx);
     void on_failed(const daemon_id& from, const attempt_failed& message, context& ctx);
     void on_status(const daemon_id& from, const attempt_status& message, context& ctx);
-    void on_summary(const daemon_id& from, const owner_summary& summary, time_point now);
+    // Summaries of daemons that are not live are ignored: they would stay.
+    void on_summary(const daemon_id& from, const owner_summary& summary, const context& ctx);
     void on_tick(context& ctx);
 
     [[nodiscard]] std::optional<time_point> next_wakeup() const;
--- a/src/core/entry_parts.cpp
+++ b/src/core/entry_parts.cpp
@@ -190,7 +190,7 @@
         return;
     }
     auto servers = owner_context();
-    m_callers.on_summary(m_settings.self, m_servers.make_summary(servers), m_now);
+    m_callers.on_summary(m_settings.self, m_servers.make_summary(servers), caller_context());
     auto ctx = caller_context();
     if (event.kind == call_kind::plain && !event.idempotent) {
         m_keys.on_caller_request(event, m_callers, ctx);
@@ -294,7 +294,7 @@
 }
 
 void entry_core::parts::receive(const daemon_id& from, const owner_summary& message) {
-    m_callers.on_summary(from, message, m_now);
+    m_callers.on_summary(from, message, caller_context());
 }
 
 void entry_core::parts::receive(const daemon_id& from, const release_servers& message) {
