--- /dev/null
+++ b/src/standins/prefix_cache.cpp
@@ -0,0 +1,97 @@
+#include "prefix_cache.hpp"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <memory>
+
+namespace verbenahold::standins {
+
+namespace {
+
+constexpr std::int64_t block_tokens = 1024;
+constexpr std::size_t block_bytes = 4096;
+// Older events are forgotten; a reader that is further behind sees a gap.
+constexpr std::size_t max_changes = 4096;
+
+}  // namespace
+
+std::vector<std::uint64_t> hash_prompt_blocks(std::string_view prompt) {
+    const std::unique_ptr<XXH64_state_t, decltype(&XXH64_freeState)> state(XXH64_createState(), &XXH64_freeState);
+    XXH64_reset(state.get(), 0);
+    std::vector<std::uint64_t> hashes;
+    for (std::size_t end = block_bytes; end <= prompt.size(); end += block_bytes) {
+        XXH64_update(state.get(), prompt.data() + end - block_bytes, block_bytes);
+        hashes.push_back(XXH64_digest(state.get()));
+    }
+    return hashes;
+}
+
+prefix_cache::prefix_cache(std::int64_t capacity_tokens, duration event_lag)
+    : m_capacity_blocks(static_cast<std::size_t>(capacity_tokens / block_tokens)), m_event_lag(event_lag) {}
+
+std::int64_t prefix_cache::find(const std::vector<std::uint64_t>& hashes) {
+    std::int64_t tokens = 0;
+    for (const std::uint64_t hash : hashes) {
+        const auto found = m_blocks.find(hash);
+        if (found == m_blocks.end()) {
+            break;
+        }
+        m_order.splice(m_order.begin(), m_order, found->second);
+        tokens += block_tokens;
+    }
+    return tokens;
+}
+
+void prefix_cache::store(const std::vector<std::uint64_t>& hashes, time_point now) {
+    // The last block first: a block is of use only with all before it, so the
+    // first ones are the last to be dropped.
+    const std::size_t count = std::min(hashes.size(), m_capacity_blocks);
+    for (std::size_t i = count; i > 0; --i) {
+        touch(hashes[i - 1], now);
+    }
+}
+
+void prefix_cache::touch(std::uint64_t hash, time_point now) {
+    if (const auto found = m_blocks.find(hash); found != m_blocks.end()) {
+        m_order.splice(m_order.begin(), m_order, found->second);
+        return;
+    }
+    if (m_blocks.size() >= m_capacity_blocks) {
+        const std::uint64_t oldest = m_order.back();
+        m_order.pop_back();
+        m_blocks.erase(oldest);
+        note(oldest, false, now);
+    }
+    m_order.push_front(hash);
+    m_blocks[hash] = m_order.begin();
+    note(hash, true, now);
+}
+
+void prefix_cache::note(std::uint64_t hash, bool stored, time_point now) {
+    ++m_last_change;
+    if (std::uniform_real_distribution<double>(0, 1)(m_random) < m_drop_share) {
+        return;
+    }
+    m_changes.push_back({m_last_change, hash, stored, now + m_event_lag});
+    if (m_changes.size() > max_changes) {
+        m_changes.pop_front();
+    }
+}
+
+void prefix_cache::clear() {
+    m_order.clear();
+    m_blocks.clear();
+}
+
+std::vector<cache_change> prefix_cache::changes(std::uint64_t after, time_point now) const {
+    std::vector<cache_change> visible;
+    for (const cache_change& change : m_changes) {
+        if (change.number > after && change.visible_from <= now) {
+            visible.push_back(change);
+        }
+    }
+    return visible;
+}
+
+}  // namespace verbenahold::standins
--- /dev/null
+++ b/src/standins/program_start.hpp
@@ -0,0 +1,23 @@
+// What every stand-in program does at start: reads its options, listens, and
+// prints its address.
+#pragma once
+
+#include "http_listener.hpp"
+
+#include <boost/program_options.hpp>
+
+#include <string>
+
+namespace verbenahold::standins {
+
+// Parses the command line into the variables that `options` is bound to. Adds
+// --help and --listen ("address:port", default 127.0.0.1:0). Prints what is
+// wrong and ends the program on a bad option.
+void read_options(int argc, char* argv[], const std::string& program,
+                  boost::program_options::options_description& options, std::string& listen_address);
+
+// Listens and prints {"listening":"address:port"}; ends the program with an
+// error if the address is not available.
+void announce(http_listener& listener, const std::string& listen_address);
+
+}  // namespace verbenahold::standins
--- /dev/null
+++ b/src/standins/table_store.hpp
@@ -0,0 +1,49 @@
+// Rows with revisions and transactions: the platform's table service without
+// its network.
+#pragma once
+
+#include <QJsonObject>
+#include <QJsonValue>
+#include <QString>
+
+#include <cstdint>
+#include <map>
+#include <variant>
+#include <vector>
+
+namespace verbenahold::standins {
+
+struct table_row {
+    QJsonValue value;
+    std::uint64_t revision = 0;
+};
+
+struct transaction_done {
+    std::uint64_t revision = 0;
+};
+
+struct transaction_failed {
+    // Keys whose checks did not hold.
+    std::vector<QString> keys;
+};
+
+using transaction_result = std::variant<transaction_done, transaction_failed>;
+
+class table_store {
+public:
+    // Runs {"checks","puts","deletes"}: all or nothing. A row takes the
+    // transaction's revision; a check of revision 0 demands absence.
+    transaction_result transact(const QJsonObject& transaction);
+    // {"rows":[...]} of the keys that exist.
+    [[nodiscard]] QJsonObject read(const QJsonArray& keys) const;
+    // Rows whose key starts with `prefix` and is greater than `after`.
+    [[nodiscard]] QJsonObject scan(const QString& prefix, const QString& after, int limit) const;
+
+private:
+    [[nodiscard]] std::uint64_t revision_of(const QString& key) const;
+
+    std::map<QString, table_row> m_rows;
+    std::uint64_t m_revision = 0;
+};
+
+}  // namespace verbenahold::standins
