--- a/src/core/entry_parts.cpp
+++ b/src/core/entry_parts.cpp
@@ -190,7 +190,7 @@
         return;
     }
     auto servers = owner_context();
-    m_callers.on_summary(m_settings.self, m_servers.make_summary(servers), m_now);
+    m_callers.on_summary(m_settings.self, m_servers.make_summary(servers), caller_context());
     auto ctx = caller_context();
     if (event.kind == call_kind::plain && !event.idempotent) {
         m_keys.on_caller_request(event, m_callers, ctx);
@@ -294,7 +294,7 @@
 }
 
 void entry_core::parts::receive(const daemon_id& from, const owner_summary& message) {
-    m_callers.on_summary(from, message, m_now);
+    m_callers.on_summary(from, message, caller_context());
 }
 
 void entry_core::parts::receive(const daemon_id& from, const release_servers& message) {
@@ -362,9 +362,8 @@
     m_servers.on_reserve_part(from, message, ctx);
 }
 
-void entry_core::parts::receive(const daemon_id& from, const part_answer& message) {
-    auto ctx = caller_context();
-    m_callers.on_part_answer(from, message, ctx);
+void entry_core::parts::receive(const daemon_id& /*from*/, const part_answer& /*message*/) {
+    // No part is asked for before group_reservation is wired in.
 }
 
 void entry_core::parts::receive(const daemon_id& from, const confirm_part& message) {
