Spread suspicions and refutations in time under loss

Change: the first three sends of an update come before older ones, the self description is sent to peers that do not know it yet only, the suspect is asked by about eight daemons in addition to the regular round, and a joining daemon spends its budget on probes.

--- a/src/core/gossip_queue.cpp
+++ b/src/core/gossip_queue.cpp
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr std::size_t updates_for_message = 6;
+// The first sends of an update may use up the budget; the later ones, that
+// only make its arrival more certain, leave a reserve for fresher news.
+constexpr int urgent_transmissions = 3;
 constexpr std::size_t strikes_for_message = 4;
 // Part of a daemon's 2,000 bytes of control traffic a second; summaries take
 // 900 bytes, configuration and account limits the rest.
@@ -52,6 +55,10 @@
     m_updates.push_back({host, 0});
 }
 
+void gossip_queue::clear_updates() {
+    m_updates.clear();
+}
+
 void gossip_queue::set_strikes(std::span<const crash_strike> strikes) {
     std::vector<pending_strike> next;
     next.reserve(strikes.size());
@@ -85,7 +92,8 @@
 void gossip_queue::append_news(gossip_payload& gossip, int transmissions, const lookup& known) {
     std::ranges::stable_sort(m_updates, {}, &pending_update::sent);
     for (pending_update& pending : m_updates) {
-        if (gossip.updates.size() >= updates_for_message) {
+        const bool may_wait = pending.sent >= urgent_transmissions && !has_reserve();
+        if (may_wait || gossip.updates.size() >= updates_for_message) {
             break;
         }
         pending.sent += append(gossip, known(pending.host)) ? 1 : 0;
--- a/src/core/gossip_queue.hpp
+++ b/src/core/gossip_queue.hpp
@@ -33,6 +33,7 @@
 
     // The host's state has news; sent anew to `transmissions` receivers.
     void push(const host_name& host);
+    void clear_updates();
     // Replaces the strikes; those known before keep their number of sends.
     void set_strikes(std::span<const crash_strike> strikes);
 
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -11,6 +11,7 @@
 using std::chrono::seconds;
 
 constexpr std::chrono::milliseconds first_probe_spread{500};
+constexpr std::size_t askers_of_suspect = 8;
 constexpr int join_help_updates = 6;
 // Dead members are probed for this long after they left the host list, so
 // that regions find each other again after an hour without contact.
@@ -101,6 +102,20 @@
     m_round.insert(m_round.begin() + static_cast<std::ptrdiff_t>(place), host);
 }
 
+bool membership::must_introduce(const host_name& to) const {
+    const std::size_t index = index_of(to);
+    return index == no_member || !m_peers[index].introduced || m_peers[index].heard == member_state::dead;
+}
+
+// What this daemon says of itself has changed, so every peer must hear it.
+void membership::renew_self() {
+    ++m_refutation;
+    for (peer_state& peer : m_peers) {
+        peer.introduced = false;
+    }
+    m_gossip.push(m_settings.self.host);
+}
+
 void membership::remove_member(std::size_t index) {
     m_index.erase(m_members[index].daemon.host);
     if (index + 1 != m_members.size()) {
@@ -117,6 +132,9 @@
     if (m_peers[index].heard != heard) {
         std::erase(m_suspects, host);
         if (heard == member_state::suspect) {
+            // Some daemons that hear of a suspicion ask for themselves: all in
+            // a small group, about as many in a large one.
+            m_peers[index].ask_again = m_random() % m_members.size() < askers_of_suspect;
             m_peers[index].suspect_since = now;
             m_suspects.push_back(host);
         }
@@ -171,9 +189,9 @@
     }
     const member_state own = leaving() ? member_state::leaving : member_state::alive;
     if (update.state != own && update.refutation >= m_refutation) {
-        m_refutation = update.refutation + 1;
+        m_refutation = update.refutation;
         m_refute_until = now + refutation_time;
-        m_gossip.push(m_settings.self.host);
+        renew_self();
         out.push_back(count{"membership_refutations"});
     }
 }
@@ -206,12 +224,11 @@
         known.state = member_state::dead;
         known.since = now;
         known.last_heard = now;
-        m_peers[index].first_known = now;
+        m_peers[index] = {member_state::dead, now};
         // The set of live daemons changes even when the host stays live.
         m_view_version += was_live ? 1 : 0;
         m_unknown_asked.erase(update.daemon);
         std::erase(m_suspects, update.daemon.host);
-        m_peers[index].heard = member_state::dead;
     } else if (!is_better(update, known.refutation, m_peers[index].heard)) {
         return;
     }
@@ -314,6 +331,11 @@
     if (is_accused) {
         m_gossip.append_required(gossip, update_of(to));
     }
+    // While joining, the budget is for this daemon's own probes: what it has
+    // just learned is no news to the others.
+    if (!m_joined) {
+        return gossip;
+    }
     m_gossip.append_news(gossip, transmissions(), [this](const host_name& host) { return update_of(host); });
     if (m_gossip.has_reserve()) {
         append_filler(gossip, to, filler);
@@ -360,9 +382,8 @@
     }
     if (self_leaving != m_host_leaving) {
         m_host_leaving = self_leaving;
-        ++m_refutation;
         ++m_view_version;
-        m_gossip.push(m_settings.self.host);
+        renew_self();
     }
 }
 
@@ -411,6 +432,7 @@
     if (known) {
         member& sender = m_members[index_of(from.host)];
         sender.config_as_of = std::max(sender.config_as_of, answered->sent);
+        m_peers[index_of(from.host)].introduced = true;
         if (m_peers[index_of(from.host)].heard == member_state::leaving) {
             std::erase(m_suspects, from.host);
         }
@@ -441,7 +463,7 @@
     const std::uint64_t sequence = ++m_sequence;
     m_relayed[sequence] = {from, message.sequence, now};
     m_gossip.spend(gossip_message_bytes);
-    push_message(target, *address, probe{sequence, make_gossip(target.host, true, 0)}, out);
+    push_message(target, *address, probe{sequence, make_gossip(target.host, must_introduce(target.host), 0)}, out);
 }
 
 void membership::on_leave(const daemon_id& from, time_point now, std::vector<entry_command>& out) {
@@ -461,9 +483,8 @@
         return;
     }
     m_leave_begun = true;
-    ++m_refutation;
     ++m_view_version;
-    m_gossip.push(m_settings.self.host);
+    renew_self();
     for (const member& peer : m_members) {
         if (peer.state != member_state::dead) {
             push_message(peer.daemon, peer.peer_endpoint, leave{}, out);
--- a/src/core/membership.hpp
+++ b/src/core/membership.hpp
@@ -92,6 +92,8 @@
         time_point suspect_since{};
         // This daemon's own probe failed and has not been repeated since.
         bool ask_again = false;
+        // It has answered a probe of this daemon, so it knows its addresses.
+        bool introduced = false;
     };
     struct candidate {
         zone_name zone;
@@ -119,6 +121,8 @@
     [[nodiscard]] const endpoint* endpoint_of(const host_name& host) const;
     void add_member(const member_update& update, time_point now, std::vector<entry_command>& out);
     void remove_member(std::size_t index);
+    [[nodiscard]] bool must_introduce(const host_name& to) const;
+    void renew_self();
     void set_state(std::size_t index, member_state heard, time_point now, std::vector<entry_command>& out);
     void refresh_shown_state(std::size_t index, time_point now, std::vector<entry_command>& out);
     void apply_update(const member_update& update, time_point now, std::vector<entry_command>& out);
@@ -133,6 +137,7 @@
     gossip_payload make_gossip(const host_name& to, bool with_self, int filler);
     void append_filler(gossip_payload& gossip, const host_name& to, int count);
 
+    void ask_suspect_again(time_point now, std::vector<entry_command>& out);
     void probe_peers(time_point now, std::vector<entry_command>& out);
     void send_probe(const host_name& target, time_point now, std::vector<entry_command>& out);
     void ask_others(outstanding_probe& outstanding, std::vector<entry_command>& out);
--- a/src/core/membership_probes.cpp
+++ b/src/core/membership_probes.cpp
@@ -40,13 +40,6 @@
 }
 
 std::optional<host_name> membership::next_target() {
-    // A suspect is asked once more before its time is over: the probe carries
-    // the accusation, so a daemon that lost one message can refute it.
-    for (const host_name& host : m_suspects) {
-        if (std::exchange(m_peers[index_of(host)].ask_again, false) && endpoint_of(host) != nullptr) {
-            return host;
-        }
-    }
     if (m_round.empty()) {
         start_round();
     }
@@ -67,7 +60,21 @@
     const std::uint64_t sequence = ++m_sequence;
     m_outstanding.push_back({sequence, target, now, false});
     m_gossip.spend(gossip_message_bytes);
-    push_message(to, *address, probe{sequence, make_gossip(target, true, 0)}, out);
+    push_message(to, *address, probe{sequence, make_gossip(target, must_introduce(target), 0)}, out);
+}
+
+// One suspect in each interval is asked again before its time is over: the
+// probe carries the accusation, so that a daemon that lost some messages can
+// refute it.
+void membership::ask_suspect_again(time_point now, std::vector<entry_command>& out) {
+    const auto wants = [this](const host_name& host) { return m_peers[index_of(host)].ask_again; };
+    const auto found = std::ranges::find_if(m_suspects, wants);
+    if (found == m_suspects.end() || is_waited_for(*found) || endpoint_of(*found) == nullptr) {
+        return;
+    }
+    const host_name host = *found;
+    m_peers[index_of(host)].ask_again = false;
+    send_probe(host, now, out);
 }
 
 void membership::probe_peers(time_point now, std::vector<entry_command>& out) {
@@ -77,6 +84,7 @@
         if (const auto target = next_target()) {
             send_probe(*target, now, out);
         }
+        ask_suspect_again(now, out);
     }
     if (m_joined || !m_has_host_list) {
         return;
@@ -134,7 +142,6 @@
 
 void membership::suspect(std::size_t index, time_point now, std::vector<entry_command>& out) {
     const host_name& host = m_members[index].daemon.host;
-    m_peers[index].ask_again = true;
     if (m_peers[index].heard == member_state::alive) {
         set_state(index, member_state::suspect, now, out);
     } else if (std::ranges::find(m_suspects, host) == m_suspects.end()) {
@@ -143,6 +150,7 @@
         m_peers[index].suspect_since = now;
         m_suspects.push_back(host);
     }
+    m_peers[index].ask_again = true;
 }
 
 void membership::check_suspects(time_point now, std::vector<entry_command>& out) {
@@ -170,6 +178,8 @@
     const auto is_settled = [&](const auto& listed) { return listed.second.tried || m_index.contains(listed.first); };
     if (std::ranges::all_of(m_candidates, is_settled) || now - *m_first_list > join_limit) {
         m_joined = true;
+        m_gossip.clear_updates();
+        m_gossip.push(m_settings.self.host);
         ++m_view_version;
     }
 }
