Add the control process's core: operations, leases, orders, row removal

Cause: operators' records have to become confirmed changes and engine orders, without a consensus group and with a table whose answers can be lost.

--- a/include/verbenahold/records.hpp
+++ b/include/verbenahold/records.hpp
@@ -90,6 +90,8 @@
     // False for engines that ignore fencing numbers on orders.
     bool checks_fencing = true;
     duration default_deadline = std::chrono::seconds(60);
+    // Role that engines are ordered to take; empty: none is ordered.
+    std::string role;
 };
 
 // Spec of a `client_account` record. Keys are stored as hexadecimal SHA-256;
--- /dev/null
+++ b/src/core/control_core.cpp
@@ -0,0 +1,305 @@
+#include "verbenahold/control_core.hpp"
+
+#include "lease.hpp"
+#include "operator_desk.hpp"
+#include "order_planner.hpp"
+#include "record_cache.hpp"
+#include "record_rows.hpp"
+#include "row_collector.hpp"
+#include "table_port.hpp"
+
+#include <QJsonArray>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <utility>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace verbenahold {
+
+namespace {
+
+// The head is read this often for the orders of held leases; operators'
+// requests read it themselves.
+constexpr duration refresh_interval = std::chrono::seconds(2);
+constexpr duration idle_refresh_interval = std::chrono::seconds(10);
+// Control processes that compete for one lease. Five survive the loss of a
+// zone; with all of hundreds, their reads alone would take the table's rate.
+constexpr std::size_t lease_candidates = 5;
+// A drain ends after this at the latest: operation_limit and a lease's release.
+constexpr duration drain_limit = std::chrono::seconds(12);
+// Not a possible service name, so it can't be mistaken for a service's lease.
+constexpr std::string_view collector_name = "rows.collector";
+
+std::uint64_t lease_weight(std::string_view lease_name, const host_name& host) {
+    return XXH64(host.value.data(), host.value.size(), XXH64(lease_name.data(), lease_name.size(), 0));
+}
+
+void keep_earliest(std::optional<time_point>& next, std::optional<time_point> other) {
+    if (other) {
+        next = next ? std::min(*next, *other) : other;
+    }
+}
+
+}  // namespace
+
+class control_core::parts {
+public:
+    using commands = std::vector<control_command>;
+
+    explicit parts(control_settings settings)
+        : m_settings(std::move(settings)),
+          m_cache(m_table),
+          m_desk(m_table, m_cache, m_settings.unix_time_at_zero),
+          m_collector_lease(m_table, std::string(lease_row_prefix) + std::string(collector_name), m_settings.self),
+          m_collector(m_table, m_settings.unix_time_at_zero) {}
+
+    void handle(const control_event& event, time_point now, commands& out) {
+        std::visit([&](const auto& item) { on_event(item, now, out); }, event);
+        run_due(now, out);
+    }
+
+    [[nodiscard]] std::optional<time_point> next_wakeup() const {
+        std::optional<time_point> next = m_table.next_wakeup();
+        keep_earliest(next, m_desk.next_wakeup());
+        if (m_drain_until) {
+            keep_earliest(next, m_drained ? std::nullopt : m_drain_until);
+            return next;
+        }
+        keep_earliest(next, m_next_refresh);
+        keep_earliest(next, m_collector_lease.next_wakeup());
+        if (m_collector_lease.held()) {
+            keep_earliest(next, m_collector.next_wakeup());
+        }
+        for (const auto& [name, governed] : m_services) {
+            keep_earliest(next, governed.holder.next_wakeup());
+            if (governed.holder.held()) {
+                keep_earliest(next, governed.planner.next_wakeup());
+            }
+        }
+        return next;
+    }
+
+    [[nodiscard]] figures read_figures() const {
+        figures result;
+        result.config_version = m_cache.current()->version();
+        result.open_operations = m_desk.open();
+        result.held_leases = m_collector_lease.held() ? 1 : 0;
+        for (const auto& [name, governed] : m_services) {
+            result.held_leases += governed.holder.held() ? 1 : 0;
+            result.open_orders += governed.planner.open_orders();
+        }
+        return result;
+    }
+
+private:
+    // A service with the lease for its orders.
+    struct governed_service {
+        governed_service(table_port& table, const service_name& name, const daemon_id& self)
+            : holder(table, std::string(lease_row_prefix) + name.value, self), planner(table, name) {}
+
+        lease holder;
+        order_planner planner;
+    };
+
+    void on_event(const tick& /*event*/, time_point /*now*/, commands& /*out*/) {}
+
+    void on_event(const drain_requested& /*event*/, time_point now, commands& out) {
+        if (m_drain_until) {
+            return;
+        }
+        m_drain_until = now + drain_limit;
+        m_desk.begin_drain();
+        m_collector_lease.release(now, out);
+        for (auto& [name, governed] : m_services) {
+            governed.holder.release(now, out);
+        }
+    }
+
+    void on_event(const host_list_read& event, time_point /*now*/, commands& /*out*/) {
+        m_hosts = event.hosts;
+        m_desk.on_hosts(m_hosts);
+        share_hosts();
+    }
+
+    void on_event(const rows_read& event, time_point now, commands& out) { m_table.on_answer(event, now, out); }
+    void on_event(const rows_transacted& event, time_point now, commands& out) { m_table.on_answer(event, now, out); }
+    void on_event(const schema_versions_read& event, time_point now, commands& out) {
+        m_desk.on_event(event, now, out);
+    }
+    void on_event(const write_request& event, time_point now, commands& out) { m_desk.on_event(event, now, out); }
+    void on_event(const read_request& event, time_point now, commands& out) { m_desk.on_event(event, now, out); }
+    void on_event(const changes_request& event, time_point now, commands& out) { m_desk.on_event(event, now, out); }
+
+    // Events of engines and the weight store go to the planners, which know
+    // theirs by server name or call number.
+    template <class Event>
+    void on_event(const Event& event, time_point now, commands& out) {
+        for (auto& [name, governed] : m_services) {
+            governed.planner.on_event(event, context_of(name, governed, now, out));
+        }
+    }
+
+    void on_event(const status_request& event, time_point now, commands& out) {
+        m_cache.refresh(now, out, [this, ticket = event.ticket](bool ok, time_point at, commands& more) {
+            more.emplace_back(operator_reply{ticket, 200, status(ok, at)});
+        });
+    }
+
+    order_planner::context context_of(const service_name& name, governed_service& governed, time_point now,
+                                      commands& out) const {
+        return {now, m_cache.current()->find_service(name), governed.holder, out};
+    }
+
+    void run_due(time_point now, commands& out) {
+        m_table.on_tick(now, out);
+        m_desk.on_tick(now, out);
+        if (m_drain_until) {
+            finish_drain(now, out);
+            return;
+        }
+        refresh_if_due(now, out);
+        m_collector_lease.on_tick(now, out);
+        m_collector.on_tick(m_collector_lease.may_act(now), now, out);
+        for (auto& [name, governed] : m_services) {
+            governed.holder.on_tick(now, out);
+            const bool due = !governed.planner.next_wakeup() || *governed.planner.next_wakeup() <= now;
+            if (governed.holder.held() && due) {
+                governed.planner.on_tick(context_of(name, governed, now, out));
+            }
+        }
+    }
+
+    void refresh_if_due(time_point now, commands& out) {
+        if (now < m_next_refresh) {
+            return;
+        }
+        const bool leads = std::any_of(m_services.begin(), m_services.end(),
+                                       [](const auto& item) { return item.second.holder.held(); });
+        m_next_refresh = now + (leads ? refresh_interval : idle_refresh_interval);
+        m_cache.refresh(now, out, [this](bool, time_point, commands&) { adopt_services(); });
+    }
+
+    // One lease and planner for each service that has a model to load.
+    void adopt_services() {
+        bool added = false;
+        for (const auto& [key, value] : m_cache.current()->records()) {
+            const service_name name(key.name);
+            const service_spec* spec =
+                key.kind == record_kind::service ? m_cache.current()->find_service(name) : nullptr;
+            if (spec == nullptr || spec->type != service_type::model || m_services.contains(name)) {
+                continue;
+            }
+            m_services.try_emplace(name, m_table, name, m_settings.self);
+            added = true;
+        }
+        if (added) {
+            share_hosts();
+        }
+    }
+
+    void share_hosts() {
+        m_collector_lease.set_candidate(is_candidate(collector_name));
+        for (auto& [name, governed] : m_services) {
+            governed.holder.set_candidate(is_candidate(name.value));
+            std::map<server_name, endpoint> servers;
+            for (const host_entry& host : m_hosts) {
+                if (host.role == host_role::backend && host.state == host_state::live && host.service == name) {
+                    servers.emplace(server_name(host.host.value), host.server_endpoint);
+                }
+            }
+            governed.planner.set_servers(servers);
+        }
+    }
+
+    [[nodiscard]] bool is_candidate(std::string_view lease_name) const {
+        const host_name& self = m_settings.self.host;
+        const std::uint64_t own = lease_weight(lease_name, self);
+        const auto ahead = std::count_if(m_hosts.begin(), m_hosts.end(), [&](const host_entry& host) {
+            return host.role == host_role::entry && host.state == host_state::live && host.host != self &&
+                   lease_weight(lease_name, host.host) > own;
+        });
+        return static_cast<std::size_t>(ahead) < lease_candidates;
+    }
+
+    void finish_drain(time_point now, commands& out) {
+        const bool releasing =
+            m_collector_lease.busy() || std::any_of(m_services.begin(), m_services.end(),
+                                                    [](const auto& item) { return item.second.holder.busy(); });
+        if (!m_drained && ((m_desk.open() == 0 && !releasing) || now >= *m_drain_until)) {
+            m_drained = true;
+            out.emplace_back(drained{});
+        }
+    }
+
+    [[nodiscard]] QJsonObject status(bool confirmed, time_point now) const {
+        QJsonArray services;
+        for (const auto& [name, governed] : m_services) {
+            QJsonObject service = governed.planner.status(m_cache.current()->find_service(name));
+            service["holder"] = to_qstring(governed.holder.holder());
+            service["fence"] = static_cast<qint64>(governed.holder.fence());
+            service["held_here"] = governed.holder.may_act(now);
+            services.append(service);
+        }
+        QJsonArray zones_out;
+        for (const auto& [key, value] : m_cache.current()->records()) {
+            if (key.kind == record_kind::availability_zone && m_cache.current()->is_zone_out(zone_name(key.name))) {
+                zones_out.append(to_qstring(key.name));
+            }
+        }
+        return {{"daemon", to_qstring(to_string(m_settings.self))},
+                {"version", static_cast<qint64>(m_cache.current()->version())},
+                {"confirmed", confirmed},
+                {"writes_schema_version", m_desk.writable_schema()},
+                {"hosts", host_counts()},
+                {"zones_out", zones_out},
+                {"services", services}};
+    }
+
+    [[nodiscard]] QJsonObject host_counts() const {
+        std::map<QString, int> numbers;
+        for (const host_entry& host : m_hosts) {
+            const QString role = host.role == host_role::entry ? "entry" : "backend";
+            ++numbers[role + (host.state == host_state::live ? "_live" : "_leaving")];
+        }
+        QJsonObject result;
+        for (const auto& [name, number] : numbers) {
+            result[name] = number;
+        }
+        return result;
+    }
+
+    control_settings m_settings;
+    table_port m_table;
+    record_cache m_cache;
+    operator_desk m_desk;
+    lease m_collector_lease;
+    row_collector m_collector;
+    std::map<service_name, governed_service> m_services;
+    std::vector<host_entry> m_hosts;
+    time_point m_next_refresh{};
+    std::optional<time_point> m_drain_until;
+    bool m_drained = false;
+};
+
+control_core::control_core(control_settings settings) : m_parts(std::make_unique<parts>(std::move(settings))) {}
+control_core::~control_core() = default;
+control_core::control_core(control_core&&) noexcept = default;
+control_core& control_core::operator=(control_core&&) noexcept = default;
+
+void control_core::handle(const control_event& event, time_point now, std::vector<control_command>& out) {
+    m_parts->handle(event, now, out);
+}
+
+std::optional<time_point> control_core::next_wakeup() const {
+    return m_parts->next_wakeup();
+}
+
+control_core::figures control_core::read_figures() const {
+    return m_parts->read_figures();
+}
+
+}  // namespace verbenahold
--- /dev/null
+++ b/src/core/order_planner.hpp
@@ -0,0 +1,156 @@
+// Brings the engines of one service to what its record says, a few at a time:
+// writes an order row, waits until owners have drained the server, sends the
+// orders, verifies them by the load report and deletes the row.
+#pragma once
+
+#include "lease.hpp"
+#include "table_port.hpp"
+
+#include "verbenahold/control_commands.hpp"
+#include "verbenahold/records.hpp"
+#include "verbenahold/types.hpp"
+
+#include <QJsonObject>
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace verbenahold {
+
+// What an engine is to run.
+struct engine_target {
+    std::string model;
+    std::string version;
+    std::vector<std::string> adapters;
+    std::string role;
+
+    bool operator==(const engine_target&) const = default;
+};
+
+engine_target target_of(const service_spec& spec);
+
+class order_planner {
+public:
+    using commands = std::vector<control_command>;
+
+    // Owners read order rows each 2 s at most; a server counts as drained only
+    // when a listing sent this long after its row was written is empty.
+    static constexpr duration drain_notice = std::chrono::seconds(3);
+    // A server that does not answer gives its place up to another one if it
+    // has not been ordered yet.
+    static constexpr duration unreachable_limit = std::chrono::seconds(30);
+    // An order that the load report does not confirm within this is repeated.
+    static constexpr duration verify_limit = std::chrono::seconds(60);
+
+    struct context {
+        time_point now{};
+        // Nothing: the record is gone; open orders end.
+        const service_spec* spec = nullptr;
+        lease& holder;
+        commands& out;
+    };
+
+    order_planner(table_port& table, service_name service);
+
+    // Servers of this service in the host list that are not leaving.
+    void set_servers(const std::map<server_name, endpoint>& servers);
+    void on_tick(const context& ctx);
+    void on_event(const load_report& event, const context& ctx);
+    void on_event(const load_failed& event, const context& ctx);
+    void on_event(const stream_listing& event, const context& ctx);
+    void on_event(const weights_answered& event, const context& ctx);
+    void on_event(const order_answered& event, const context& ctx);
+
+    [[nodiscard]] std::size_t open_orders() const { return m_orders.size(); }
+    [[nodiscard]] std::optional<time_point> next_wakeup() const { return m_next; }
+    // {"service","servers","observed","at_target","orders":[...]}
+    [[nodiscard]] QJsonObject status(const service_spec* spec) const;
+
+private:
+    enum class stage : std::uint8_t { writing, draining, asking_weights, sending, verifying, clearing };
+
+    // What is known of one server.
+    struct server_view {
+        endpoint address;
+        std::string version;
+        std::uint64_t incarnation = 0;
+        std::optional<time_point> polled;
+        std::optional<time_point> observed;
+        std::optional<time_point> failing_since;
+    };
+
+    // Adapters and role that were last ordered; lost when the engine restarts.
+    struct loaded_state {
+        std::uint64_t incarnation = 0;
+        std::vector<std::string> adapters;
+        std::string role;
+    };
+
+    struct open_order {
+        engine_target target;
+        std::vector<engine_order> steps;
+        std::size_t next_step = 0;
+        stage at = stage::writing;
+        std::uint64_t row_revision = 0;
+        bool row_is_ours = false;
+        time_point row_written{};
+        // When this stage asks again.
+        time_point retry_at{};
+        time_point listing_sent{};
+        time_point ordered{};
+        // The weight store granted a load.
+        bool permit = false;
+        // A row left by an earlier holder whose order may be under way.
+        bool inherited = false;
+        std::uint64_t call = 0;
+    };
+    using order_map = std::map<server_name, open_order>;
+
+    [[nodiscard]] bool prepare(const context& ctx);
+    void adopt(const context& ctx);
+    void adopt_rows(const std::vector<stored_row>& rows, time_point now);
+    void scan_page(const std::string& prefix, const std::string& after, time_point now, commands& out);
+    void poll_servers(const context& ctx);
+    void open_new_orders(const context& ctx);
+    [[nodiscard]] bool needs_order(const server_name& server, const server_view& view,
+                                   const engine_target& target) const;
+    [[nodiscard]] std::vector<engine_order> steps_for(const server_name& server, const server_view& view,
+                                                      const engine_target& target) const;
+    [[nodiscard]] bool matches_loaded(const server_name& server, const server_view& view,
+                                      const engine_target& target) const;
+
+    void advance(const server_name& server, open_order& order, const context& ctx);
+    void refresh_target(const server_name& server, open_order& order, const context& ctx);
+    void write_row(const server_name& server, open_order& order, const context& ctx);
+    void read_row(const server_name& server, const context& ctx);
+    void on_row(const server_name& server, const rows_read& answer, lease& holder, time_point now);
+    void list(const server_name& server, open_order& order, const context& ctx);
+    [[nodiscard]] int loading() const;
+    void ask_weights(open_order& order, const context& ctx);
+    void send_next(const server_name& server, open_order& order, const context& ctx);
+    void verify(const server_name& server, open_order& order, const context& ctx);
+    void clear_row(const server_name& server, open_order& order, const context& ctx);
+    [[nodiscard]] open_order* find_order(const server_name& server, std::uint64_t epoch);
+    void drop_all();
+
+    table_port& m_table;
+    service_name m_service;
+    std::map<server_name, server_view> m_servers;
+    std::map<server_name, loaded_state> m_loaded;
+    order_map m_orders;
+    // The fencing number for which rows have been read; a change starts over.
+    std::uint64_t m_fence = 0;
+    bool m_adopted = false;
+    bool m_scanning = false;
+    // Grows when all orders are dropped, so that late answers find nothing.
+    std::uint64_t m_epoch = 0;
+    server_name m_poll_after;
+    time_point m_next_poll{};
+    std::optional<time_point> m_next;
+};
+
+}  // namespace verbenahold
--- a/src/core/records.cpp
+++ b/src/core/records.cpp
@@ -100,6 +100,7 @@
     assign(spec.kv_capacity_tokens, fields.whole("kv_capacity_tokens", 1, most_tokens));
     assign(spec.max_unavailable, fields.whole("max_unavailable", 1, most_capacity));
     assign(spec.checks_fencing, fields.flag("checks_fencing"));
+    assign(spec.role, fields.text("role"));
     const auto deadline_ms = fields.whole("default_deadline_ms", 1, most_deadline_ms);
     if (deadline_ms) {
         spec.default_deadline = std::chrono::milliseconds(*deadline_ms);
