Add settings, logging, HTTP server and client, and the platform client

Cause: every program needs checked settings, HTTP in both directions and the platform's services.

Change: typed option table on Boost.Program_options; log4cxx on standard error; an HTTP server with routes, streamed answers, caller-gone notification, TLS, 100-continue and limits on bytes and time per connection; an HTTP client over pools of QNetworkAccessManagers whose bodies can be read once only; a platform client with typed results in which a write without an answer is unknown.

Conclusion: thirty streams to one server run at once, and a body is sent once when the connection closes before the reply (tests io_http).

--- /dev/null
+++ b/src/io/event_stream_parser.hpp
@@ -0,0 +1,31 @@
+// Incremental parser of server-sent events.
+#pragma once
+
+#include <QByteArray>
+
+#include <functional>
+
+namespace verbenahold {
+
+class event_stream_parser {
+public:
+    // Longest event; a longer one makes feed() fail.
+    static constexpr qsizetype longest_event = 4LL * 1024 * 1024;
+
+    std::function<void(const QByteArray&)> on_event;
+    // Comment lines, which keep a quiet connection alive.
+    std::function<void()> on_comment;
+
+    // Parses `bytes` and calls on_event with the data of each event that is
+    // complete. False when an event is too long.
+    bool feed(const QByteArray& bytes);
+
+private:
+    void take_line(const QByteArray& line);
+
+    QByteArray m_partial_line;
+    QByteArray m_data;
+    bool m_has_data = false;
+};
+
+}  // namespace verbenahold
--- /dev/null
+++ b/src/io/http_client.hpp
@@ -0,0 +1,108 @@
+// HTTP requests and server-sent event streams to other hosts. Every call ends
+// with exactly one callback, within its time limit.
+#pragma once
+
+#include <QByteArray>
+#include <QNetworkAccessManager>
+#include <QNetworkReply>
+#include <QObject>
+#include <QTimer>
+#include <QUrl>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <utility>
+#include <vector>
+
+namespace verbenahold {
+
+enum class http_failure : std::uint8_t {
+    none,
+    // No connection was made: the server received nothing.
+    refused,
+    // The connection ended before the whole answer.
+    reset,
+    // No answer in time, or silence on a stream.
+    timed_out,
+    // The answer is not HTTP, is too long, or is not an event stream.
+    bad_answer,
+};
+
+struct http_call {
+    QByteArray method = "GET";
+    QUrl url{};
+    QByteArray content_type{};
+    QByteArray body{};
+    std::vector<std::pair<QByteArray, QByteArray>> headers{};
+    // Of the whole call; for streams, of the time to the answer's headers.
+    std::chrono::milliseconds timeout{2'000};
+};
+
+struct http_answer {
+    http_failure failure = http_failure::none;
+    // Zero if there was no answer.
+    int status = 0;
+    QByteArray content_type;
+    QByteArray body;
+
+    // True for an answer with a 2xx status.
+    [[nodiscard]] bool good() const { return failure == http_failure::none && status / 100 == 2; }
+};
+
+// Calls of one stream; on_end comes last. An answer other than 200 comes to
+// on_end with its body, without on_open.
+struct stream_callbacks {
+    std::function<void()> on_open{};
+    std::function<void(const QByteArray&)> on_event{};
+    std::function<void()> on_comment{};
+    std::function<void(const http_answer&)> on_end{};
+};
+
+class http_client : public QObject {
+public:
+    using call_id = std::uint64_t;
+    using answer_callback = std::function<void(const http_answer&)>;
+
+    explicit http_client(QObject* parent = nullptr);
+    ~http_client() override;
+    http_client(const http_client&) = delete;
+    http_client& operator=(const http_client&) = delete;
+    http_client(http_client&&) = delete;
+    http_client& operator=(http_client&&) = delete;
+
+    // Largest answer; a longer one is a bad answer.
+    static constexpr qint64 answer_limit = 64LL * 1024 * 1024;
+
+    // Sends a call. A body is sent once only; a call without a body may be
+    // sent twice when the server closes an idle connection.
+    call_id send(const http_call& call, answer_callback done);
+    // Opens a stream of server-sent events that is given up after
+    // `silence_limit` without a byte.
+    call_id open_stream(const http_call& call, std::chrono::milliseconds silence_limit, stream_callbacks callbacks);
+    // Ends a call without a callback. Does nothing for a call that has ended.
+    void cancel(call_id which);
+
+private:
+    struct pool;
+    struct managed;
+    struct active_call;
+
+    active_call& start(const http_call& call, call_id id);
+    managed& pick_manager(const QUrl& url);
+    void finish(call_id id);
+    void read_stream(call_id id);
+    void fail(call_id id, http_failure failure);
+    void deliver(call_id id, const http_answer& answer);
+    void discard(active_call& call);
+    void trim_pools();
+
+    std::map<QString, std::unique_ptr<pool>> m_pools;
+    std::map<call_id, std::unique_ptr<active_call>> m_calls;
+    call_id m_last = 0;
+    QTimer m_trim;
+};
+
+}  // namespace verbenahold
--- /dev/null
+++ b/src/io/logging.cpp
@@ -0,0 +1,55 @@
+#include "logging.hpp"
+
+#include <log4cxx/basicconfigurator.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/level.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+
+#include <map>
+#include <string>
+
+namespace verbenahold {
+
+namespace {
+
+const log4cxx::LoggerPtr& daemon_logger() {
+    static const log4cxx::LoggerPtr logger = log4cxx::Logger::getLogger("verbenahold");
+    return logger;
+}
+
+}  // namespace
+
+bool configure_logging(std::string_view level) {
+    const std::map<std::string_view, log4cxx::LevelPtr> levels{
+        {"debug", log4cxx::Level::getDebug()},
+        {"info", log4cxx::Level::getInfo()},
+        {"warn", log4cxx::Level::getWarn()},
+        {"error", log4cxx::Level::getError()},
+    };
+    const auto found = levels.find(level);
+    if (found == levels.end()) {
+        return false;
+    }
+    const log4cxx::LayoutPtr layout(new log4cxx::PatternLayout(LOG4CXX_STR("%d{ISO8601} %-5p %m%n")));
+    const log4cxx::AppenderPtr appender(new log4cxx::ConsoleAppender(layout, LOG4CXX_STR("System.err")));
+    log4cxx::BasicConfigurator::resetConfiguration();
+    log4cxx::BasicConfigurator::configure(appender);
+    daemon_logger()->setLevel(found->second);
+    return true;
+}
+
+void log_debug(std::string_view line) {
+    LOG4CXX_DEBUG(daemon_logger(), std::string(line));
+}
+void log_info(std::string_view line) {
+    LOG4CXX_INFO(daemon_logger(), std::string(line));
+}
+void log_warning(std::string_view line) {
+    LOG4CXX_WARN(daemon_logger(), std::string(line));
+}
+void log_error(std::string_view line) {
+    LOG4CXX_ERROR(daemon_logger(), std::string(line));
+}
+
+}  // namespace verbenahold
--- /dev/null
+++ b/test/correctness/io_tls.cpp
@@ -0,0 +1,59 @@
+// Guards TLS on the HTTP server, with a certificate made by the openssl
+// command for this run.
+#include <QProcess>
+#include <QSslSocket>
+#include <QTemporaryDir>
+
+#include <catch2/catch.hpp>
+
+#include <iostream>
+
+#include "http_server.hpp"
+#include "io_wait.hpp"
+
+using namespace verbenahold;
+
+TEST_CASE("an https request is answered and a wrong key file is reported") {
+    const QTemporaryDir folder;
+    const QString key = folder.filePath("key.pem");
+    const QString certificate = folder.filePath("certificate.pem");
+    const QStringList arguments{"req",
+                                "-x509",
+                                "-newkey",
+                                "ec",
+                                "-pkeyopt",
+                                "ec_paramgen_curve:prime256v1",
+                                "-nodes",
+                                "-keyout",
+                                key,
+                                "-out",
+                                certificate,
+                                "-days",
+                                "1",
+                                "-subj",
+                                "/CN=127.0.0.1",
+                                "-addext",
+                                "subjectAltName=IP:127.0.0.1"};
+    REQUIRE(QProcess::execute("openssl", arguments) == 0);
+    http_server server;
+    CHECK_FALSE(server.use_tls(key.toStdString(), key.toStdString()).empty());
+    CHECK_FALSE(server.use_tls(certificate.toStdString(), certificate.toStdString()).empty());
+    REQUIRE(server.use_tls(certificate.toStdString(), key.toStdString()).empty());
+    server.add_route("POST", "/", [](const http_request& request, const shared_reply& reply) {
+        reply->send(200, "text/plain", request.body + " over TLS");
+    });
+    const auto address = server.listen_on(endpoint{"127.0.0.1:0"});
+    REQUIRE(address);
+    const QUrl url = url_of(address->address, "/");
+    QSslSocket socket;
+    QSslConfiguration configuration = QSslConfiguration::defaultConfiguration();
+    configuration.setCaCertificates(QSslCertificate::fromPath(certificate));
+    socket.setSslConfiguration(configuration);
+    QByteArray received;
+    QObject::connect(&socket, &QSslSocket::readyRead, [&] { received += socket.readAll(); });
+    QObject::connect(&socket, &QSslSocket::encrypted,
+                     [&] { socket.write("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody"); });
+    socket.connectToHostEncrypted(url.host(), static_cast<quint16>(url.port()));
+    CHECK(wait_until([&] { return received.endsWith("body over TLS"); }));
+    std::cout << "TLS: passed\n";
+}
