--- /dev/null
+++ b/src/io/message_codec.cpp
@@ -0,0 +1,627 @@
+#include "message_codec.hpp"
+
+#include <google/protobuf/arena.h>
+
+#include <QJsonDocument>
+
+#include <cmath>
+#include <type_traits>
+#include <utility>
+
+#include "verbenahold.pb.h"
+
+namespace verbenahold {
+
+namespace {
+
+// Largest duration and count that a message may carry. They keep sums in the
+// core far from overflow.
+constexpr std::int64_t longest_duration_us = 366LL * 24 * 3600 * 1'000'000;
+constexpr std::int64_t largest_count = 1'000'000'000'000;
+
+// ---- encoding
+
+void write(const daemon_id& from, wire::DaemonId& to) {
+    to.set_host(from.host.value);
+    to.set_incarnation(from.incarnation);
+}
+
+void write(const attempt_id& from, wire::AttemptId& to) {
+    write(from.request.origin, *to.mutable_origin());
+    to.set_sequence(from.request.sequence);
+    to.set_number(from.number);
+}
+
+void write(const gossip_payload& from, wire::Gossip& to) {
+    to.set_config_version(from.config_version);
+    to.set_config_confirmed(from.config_confirmed);
+    to.set_oldest_schema(from.oldest_schema);
+    to.set_newest_schema(from.newest_schema);
+    for (const member_update& update : from.updates) {
+        wire::MemberUpdate& added = *to.add_updates();
+        write(update.daemon, *added.mutable_daemon());
+        added.set_zone(update.zone.value);
+        added.set_peer_endpoint(update.peer_endpoint.address);
+        added.set_caller_endpoint(update.caller_endpoint.address);
+        added.set_state(static_cast<std::uint32_t>(update.state));
+        added.set_refutation(update.refutation);
+    }
+    for (const crash_strike& strike : from.strikes) {
+        wire::CrashStrike& added = *to.add_strikes();
+        added.set_fingerprint(strike.fingerprint);
+        added.set_strikes(strike.strikes);
+        added.set_expires_in_us(strike.expires_in.count());
+    }
+}
+
+void write(const owner_summary& from, wire::OwnerSummary& to) {
+    to.set_sequence(from.sequence);
+    for (const headroom& entry : from.entries) {
+        wire::Headroom& added = *to.add_entries();
+        added.set_service(entry.service.value);
+        added.set_zone(entry.zone.value);
+        added.set_servers(entry.servers);
+        added.set_in_flight(entry.in_flight);
+        added.set_free_slots(entry.free_slots);
+        added.set_free_short_tokens(entry.free_short_tokens);
+        added.set_free_long_tokens(entry.free_long_tokens);
+        added.set_largest_free_kv_tokens(entry.largest_free_kv_tokens);
+        added.set_short_wait_us(entry.short_wait.count());
+        added.set_long_wait_us(entry.long_wait.count());
+    }
+}
+
+void write_routing(const submit& from, wire::Submit& to) {
+    write(from.attempt, *to.mutable_attempt());
+    to.set_kind(static_cast<std::uint32_t>(from.kind));
+    to.set_service(from.service.value);
+    to.set_account(from.account.value);
+    to.set_account_weight(from.account_weight);
+    if (from.preferred_server) {
+        to.set_preferred_server(from.preferred_server->value);
+    }
+    to.set_run_alone(from.run_alone);
+    to.set_time_left_us(from.time_left.count());
+    to.set_traceparent(from.traceparent);
+}
+
+void write_call(const submit& from, wire::Submit& to) {
+    if (from.body) {
+        to.set_body(*from.body);
+    }
+    to.set_method(from.method);
+    to.set_path(from.path);
+    to.set_content_type(from.content_type);
+    to.set_idempotency_key(from.idempotency_key);
+    to.set_idempotent(from.idempotent);
+}
+
+void write(const submit& from, wire::Submit& to) {
+    write_routing(from, to);
+    write_call(from, to);
+    to.set_prompt_tokens(from.prompt_tokens);
+    to.set_uncached_tokens(from.uncached_tokens);
+    to.set_max_tokens(from.max_tokens);
+    to.set_predicted_output_tokens(from.predicted_output_tokens);
+    to.set_length(static_cast<std::uint32_t>(from.length));
+    to.mutable_prefix_hashes()->Add(from.prefix_hashes.begin(), from.prefix_hashes.end());
+    to.set_fingerprint(from.fingerprint);
+    for (const std::string& token : from.generated) {
+        to.add_generated(token);
+    }
+    for (const memory_part& part : from.parts) {
+        wire::MemoryPart& added = *to.add_parts();
+        added.set_server(part.server.value);
+        added.set_reservation(part.reservation);
+        added.set_tokens(part.tokens);
+    }
+}
+
+void write(const keyed_call& from, wire::KeyedCall& to) {
+    to.set_key(from.key);
+    to.set_service(from.service.value);
+    to.set_account(from.account.value);
+    to.set_method(from.method);
+    to.set_path(from.path);
+    to.set_content_type(from.content_type);
+    if (from.body) {
+        to.set_body(*from.body);
+    }
+    to.set_time_left_us(from.time_left.count());
+    to.set_traceparent(from.traceparent);
+}
+
+void write(const keyed_reply& from, wire::KeyedReply& to) {
+    to.set_key(from.key);
+    to.set_account(from.account.value);
+    to.set_replied(from.replied);
+    to.set_status(from.status);
+    to.set_content_type(from.content_type);
+    to.set_body(from.body);
+    to.set_error_code(from.error_code);
+    to.set_ran(static_cast<std::uint32_t>(from.ran));
+}
+
+void write(const config_delta& from, wire::ConfigDelta& to) {
+    to.set_from_version(from.from_version);
+    to.set_to_version(from.to_version);
+    to.set_whole(from.whole);
+    for (const config_change& change : from.changes) {
+        wire::ConfigChange& added = *to.add_changes();
+        added.set_version(change.version);
+        added.set_kind(static_cast<std::uint32_t>(change.key.kind));
+        added.set_name(change.key.name);
+        if (change.value) {
+            wire::Record& value = *added.mutable_value();
+            value.set_schema_version(change.value->schema_version);
+            value.set_record_version(change.value->record_version);
+            value.set_spec(QJsonDocument(change.value->spec).toJson(QJsonDocument::Compact).toStdString());
+        }
+    }
+}
+
+template <class List>
+void write_demands(const std::vector<account_demand>& from, List& to) {
+    for (const account_demand& demand : from) {
+        wire::AccountDemand& added = *to.Add();
+        added.set_account(demand.account.value);
+        added.set_tokens_per_second(demand.tokens_per_second);
+    }
+}
+
+template <class Part>
+void write_part(const Part& from, wire::PartMessage& to) {
+    write(from.attempt, *to.mutable_attempt());
+    to.set_server(from.server.value);
+    to.set_reservation(from.reservation);
+}
+
+// Writes each message into its field of the envelope.
+struct encoder {
+    wire::Envelope& to;
+
+    void operator()(const probe& from) const {
+        to.mutable_probe()->set_sequence(from.sequence);
+        write(from.gossip, *to.mutable_probe()->mutable_gossip());
+    }
+    void operator()(const probe_ack& from) const {
+        to.mutable_probe_ack()->set_sequence(from.sequence);
+        write(from.gossip, *to.mutable_probe_ack()->mutable_gossip());
+    }
+    void operator()(const probe_request& from) const {
+        to.mutable_probe_request()->set_sequence(from.sequence);
+        write(from.target, *to.mutable_probe_request()->mutable_target());
+    }
+    void operator()(const leave& /*from*/) const { to.mutable_leave(); }
+    void operator()(const owner_summary& from) const { write(from, *to.mutable_owner_summary()); }
+    void operator()(const release_servers& from) const {
+        wire::ReleaseServers& released = *to.mutable_release_servers();
+        for (const server_name& server : from.servers) {
+            released.add_servers(server.value);
+        }
+    }
+    void operator()(const submit& from) const { write(from, *to.mutable_submit()); }
+    void operator()(const submit_bounced& from) const {
+        write(from.attempt, *to.mutable_submit_bounced()->mutable_attempt());
+        to.mutable_submit_bounced()->set_reason(static_cast<std::uint32_t>(from.reason));
+        write(from.summary, *to.mutable_submit_bounced()->mutable_summary());
+    }
+    void operator()(const submit_accepted& from) const {
+        write(from.attempt, *to.mutable_submit_accepted()->mutable_attempt());
+        to.mutable_submit_accepted()->set_server(from.server.value);
+        write(from.summary, *to.mutable_submit_accepted()->mutable_summary());
+    }
+    void operator()(const attempt_tokens& from) const {
+        wire::AttemptTokens& tokens = *to.mutable_attempt_tokens();
+        write(from.attempt, *tokens.mutable_attempt());
+        tokens.set_first_index(from.first_index);
+        for (const std::string& token : from.tokens) {
+            tokens.add_tokens(token);
+        }
+    }
+    void operator()(const attempt_finished& from) const {
+        wire::AttemptFinished& finished = *to.mutable_attempt_finished();
+        write(from.attempt, *finished.mutable_attempt());
+        finished.set_token_count(from.token_count);
+        finished.set_checksum(from.checksum);
+        finished.set_finish_reason(from.finish_reason);
+        finished.set_cached_tokens(from.cached_tokens);
+        finished.set_server(from.server.value);
+        write(from.summary, *finished.mutable_summary());
+    }
+    void operator()(const attempt_replied& from) const {
+        wire::AttemptReplied& replied = *to.mutable_attempt_replied();
+        write(from.attempt, *replied.mutable_attempt());
+        replied.set_status(from.status);
+        replied.set_content_type(from.content_type);
+        replied.set_body(from.body);
+    }
+    void operator()(const attempt_failed& from) const {
+        wire::AttemptFailed& failed = *to.mutable_attempt_failed();
+        write(from.attempt, *failed.mutable_attempt());
+        failed.set_reason(static_cast<std::uint32_t>(from.reason));
+        failed.set_ran(static_cast<std::uint32_t>(from.ran));
+        failed.set_strikes(from.strikes);
+        failed.set_message(from.message);
+        write(from.summary, *failed.mutable_summary());
+    }
+    void operator()(const cancel_attempt& from) const {
+        write(from.attempt, *to.mutable_cancel_attempt()->mutable_attempt());
+    }
+    void operator()(const attempt_query& from) const {
+        write(from.attempt, *to.mutable_attempt_query()->mutable_attempt());
+        to.mutable_attempt_query()->set_have_tokens(from.have_tokens);
+    }
+    void operator()(const attempt_status& from) const {
+        write(from.attempt, *to.mutable_attempt_status()->mutable_attempt());
+        to.mutable_attempt_status()->set_state(static_cast<std::uint32_t>(from.state));
+    }
+    void operator()(const reserve_part& from) const {
+        write_part(from, *to.mutable_reserve_part());
+        to.mutable_reserve_part()->set_tokens(from.tokens);
+        to.mutable_reserve_part()->set_expires_in_us(from.expires_in.count());
+    }
+    void operator()(const part_answer& from) const {
+        write_part(from, *to.mutable_part_answer());
+        to.mutable_part_answer()->set_granted(from.granted);
+    }
+    void operator()(const confirm_part& from) const { write_part(from, *to.mutable_confirm_part()); }
+    void operator()(const release_part& from) const { write_part(from, *to.mutable_release_part()); }
+    void operator()(const keyed_call& from) const { write(from, *to.mutable_keyed_call()); }
+    void operator()(const keyed_reply& from) const { write(from, *to.mutable_keyed_reply()); }
+    void operator()(const config_fetch& from) const { to.mutable_config_fetch()->set_have_version(from.have_version); }
+    void operator()(const config_delta& from) const { write(from, *to.mutable_config_delta()); }
+    void operator()(const demand_report& from) const {
+        write_demands(from.demands, *to.mutable_demand_report()->mutable_demands());
+    }
+    void operator()(const share_grant& from) const {
+        write_demands(from.shares, *to.mutable_share_grant()->mutable_shares());
+        to.mutable_share_grant()->set_valid_for_us(from.valid_for.count());
+    }
+};
+
+// ---- decoding
+
+// Reads values and remembers whether one was out of its range.
+class decoder {
+public:
+    [[nodiscard]] bool good() const { return m_good; }
+
+    template <class Enum>
+    Enum enumerator(std::uint32_t value, Enum last) {
+        require(value <= static_cast<std::uint32_t>(last));
+        return static_cast<Enum>(value);
+    }
+
+    template <class Small>
+    Small small(std::uint32_t value) {
+        require(value <= std::numeric_limits<Small>::max());
+        return static_cast<Small>(value);
+    }
+
+    std::int64_t tokens(std::int64_t value) {
+        require(value >= -largest_count && value <= largest_count);
+        return value;
+    }
+
+    std::uint64_t index(std::uint64_t value) {
+        require(value <= static_cast<std::uint64_t>(largest_count));
+        return value;
+    }
+
+    duration time(std::int64_t microseconds) {
+        require(microseconds >= -longest_duration_us && microseconds <= longest_duration_us);
+        return duration(microseconds);
+    }
+
+    double number(double value) {
+        require(std::isfinite(value));
+        return value;
+    }
+
+    daemon_id read(const wire::DaemonId& from) { return {host_name(from.host()), from.incarnation()}; }
+
+    attempt_id read(const wire::AttemptId& from) { return {{read(from.origin()), from.sequence()}, from.number()}; }
+
+    gossip_payload read(const wire::Gossip& from) {
+        gossip_payload to;
+        to.config_version = from.config_version();
+        to.config_confirmed = from.config_confirmed();
+        to.oldest_schema = small<std::uint8_t>(from.oldest_schema());
+        to.newest_schema = small<std::uint8_t>(from.newest_schema());
+        for (const wire::MemberUpdate& update : from.updates()) {
+            to.updates.push_back({read(update.daemon()), zone_name(update.zone()), endpoint{update.peer_endpoint()},
+                                  endpoint{update.caller_endpoint()}, enumerator(update.state(), member_state::dead),
+                                  update.refutation()});
+        }
+        for (const wire::CrashStrike& strike : from.strikes()) {
+            to.strikes.push_back(
+                {strike.fingerprint(), small<std::uint8_t>(strike.strikes()), time(strike.expires_in_us())});
+        }
+        return to;
+    }
+
+    owner_summary read(const wire::OwnerSummary& from) {
+        owner_summary to;
+        to.sequence = from.sequence();
+        to.entries.reserve(static_cast<std::size_t>(from.entries_size()));
+        for (const wire::Headroom& entry : from.entries()) {
+            headroom added;
+            added.service = service_name(entry.service());
+            added.zone = zone_name(entry.zone());
+            added.servers = small<std::uint16_t>(entry.servers());
+            added.in_flight = small<std::uint16_t>(entry.in_flight());
+            added.free_slots = small<std::uint16_t>(entry.free_slots());
+            added.free_short_tokens = tokens(entry.free_short_tokens());
+            added.free_long_tokens = tokens(entry.free_long_tokens());
+            added.largest_free_kv_tokens = tokens(entry.largest_free_kv_tokens());
+            added.short_wait = time(entry.short_wait_us());
+            added.long_wait = time(entry.long_wait_us());
+            to.entries.push_back(std::move(added));
+        }
+        return to;
+    }
+
+    submit read(wire::Submit& from) {
+        submit to;
+        read_routing(from, to);
+        read_call(from, to);
+        to.prompt_tokens = tokens(from.prompt_tokens());
+        to.uncached_tokens = tokens(from.uncached_tokens());
+        to.max_tokens = tokens(from.max_tokens());
+        to.predicted_output_tokens = tokens(from.predicted_output_tokens());
+        to.length = enumerator(from.length(), length_class::very_long_prompt);
+        to.prefix_hashes.assign(from.prefix_hashes().begin(), from.prefix_hashes().end());
+        to.fingerprint = from.fingerprint();
+        to.generated.assign(from.generated().begin(), from.generated().end());
+        for (const wire::MemoryPart& part : from.parts()) {
+            to.parts.push_back({server_name(part.server()), part.reservation(), tokens(part.tokens())});
+        }
+        return to;
+    }
+
+    keyed_call read(wire::KeyedCall& from) {
+        keyed_call to;
+        to.key = from.key();
+        to.service = service_name(from.service());
+        to.account = account_name(from.account());
+        to.method = from.method();
+        to.path = from.path();
+        to.content_type = from.content_type();
+        if (from.has_body()) {
+            to.body = std::make_shared<const std::string>(std::move(*from.mutable_body()));
+        }
+        to.time_left = time(from.time_left_us());
+        to.traceparent = from.traceparent();
+        return to;
+    }
+
+    keyed_reply read(const wire::KeyedReply& from) {
+        return {from.key(),          account_name(from.account()),
+                from.replied(),      from.status(),
+                from.content_type(), from.body(),
+                from.error_code(),   enumerator(from.ran(), ran_state::unknown)};
+    }
+
+    config_delta read(const wire::ConfigDelta& from) {
+        config_delta to{from.from_version(), from.to_version(), from.whole(), {}};
+        for (const wire::ConfigChange& change : from.changes()) {
+            config_change added;
+            added.version = change.version();
+            added.key = {enumerator(change.kind(), record_kind::availability_zone), change.name()};
+            if (change.has_value()) {
+                added.value = read_record(added.key, change.value());
+            }
+            to.changes.push_back(std::move(added));
+        }
+        return to;
+    }
+
+    template <class List>
+    std::vector<account_demand> read_demands(const List& from) {
+        std::vector<account_demand> to;
+        for (const wire::AccountDemand& demand : from) {
+            to.push_back({account_name(demand.account()), number(demand.tokens_per_second())});
+        }
+        return to;
+    }
+
+    attempt_failed read(const wire::AttemptFailed& from) {
+        return {read(from.attempt()),
+                enumerator(from.reason(), attempt_failure::bad_request),
+                enumerator(from.ran(), ran_state::unknown),
+                small<std::uint8_t>(from.strikes()),
+                from.message(),
+                read(from.summary())};
+    }
+
+    attempt_finished read(const wire::AttemptFinished& from) {
+        return {read(from.attempt()),         index(from.token_count()),  from.checksum(),     from.finish_reason(),
+                tokens(from.cached_tokens()), server_name(from.server()), read(from.summary())};
+    }
+
+    // The message in an envelope; no value for a kind that is not known.
+    std::optional<peer_message> read(wire::Envelope& from) {
+        if (auto message = read_control(from)) {
+            return message;
+        }
+        return read_request(from);
+    }
+
+private:
+    void require(bool condition) { m_good = m_good && condition; }
+
+    void read_routing(const wire::Submit& from, submit& to) {
+        to.attempt = read(from.attempt());
+        to.kind = enumerator(from.kind(), call_kind::plain);
+        to.service = service_name(from.service());
+        to.account = account_name(from.account());
+        to.account_weight = number(from.account_weight());
+        if (from.has_preferred_server()) {
+            to.preferred_server = server_name(from.preferred_server());
+        }
+        to.run_alone = from.run_alone();
+        to.time_left = time(from.time_left_us());
+        to.traceparent = from.traceparent();
+    }
+
+    static void read_call(wire::Submit& from, submit& to) {
+        if (from.has_body()) {
+            to.body = std::make_shared<const std::string>(std::move(*from.mutable_body()));
+        }
+        to.method = from.method();
+        to.path = from.path();
+        to.content_type = from.content_type();
+        to.idempotency_key = from.idempotency_key();
+        to.idempotent = from.idempotent();
+    }
+
+    record read_record(const record_key& key, const wire::Record& from) {
+        const QByteArray text = QByteArray::fromStdString(from.spec());
+        const QJsonDocument json = QJsonDocument::fromJson(text);
+        require(json.isObject());
+        return {key, from.schema_version(), from.record_version(), json.object()};
+    }
+
+    std::optional<peer_message> read_control(wire::Envelope& from) {
+        switch (from.message_case()) {
+            case wire::Envelope::kProbe:
+                return probe{from.probe().sequence(), read(from.probe().gossip())};
+            case wire::Envelope::kProbeAck:
+                return probe_ack{from.probe_ack().sequence(), read(from.probe_ack().gossip())};
+            case wire::Envelope::kProbeRequest:
+                return probe_request{from.probe_request().sequence(), read(from.probe_request().target())};
+            case wire::Envelope::kLeave:
+                return leave{};
+            case wire::Envelope::kOwnerSummary:
+                return read(from.owner_summary());
+            case wire::Envelope::kReleaseServers:
+                return read_released(from.release_servers());
+            case wire::Envelope::kConfigFetch:
+                return config_fetch{from.config_fetch().have_version()};
+            case wire::Envelope::kConfigDelta:
+                return read(from.config_delta());
+            case wire::Envelope::kDemandReport:
+                return demand_report{read_demands(from.demand_report().demands())};
+            case wire::Envelope::kShareGrant:
+                return share_grant{read_demands(from.share_grant().shares()), time(from.share_grant().valid_for_us())};
+            default:
+                return std::nullopt;
+        }
+    }
+
+    std::optional<peer_message> read_request(wire::Envelope& from) {
+        switch (from.message_case()) {
+            case wire::Envelope::kSubmit:
+                return read(*from.mutable_submit());
+            case wire::Envelope::kSubmitBounced:
+                return submit_bounced{read(from.submit_bounced().attempt()),
+                                      enumerator(from.submit_bounced().reason(), bounce_reason::held_as_crashing),
+                                      read(from.submit_bounced().summary())};
+            case wire::Envelope::kSubmitAccepted:
+                return submit_accepted{read(from.submit_accepted().attempt()),
+                                       server_name(from.submit_accepted().server()),
+                                       read(from.submit_accepted().summary())};
+            case wire::Envelope::kAttemptTokens:
+                return read_tokens(from.attempt_tokens());
+            case wire::Envelope::kAttemptFinished:
+                return read(from.attempt_finished());
+            case wire::Envelope::kAttemptReplied:
+                return attempt_replied{read(from.attempt_replied().attempt()), from.attempt_replied().status(),
+                                       from.attempt_replied().content_type(),
+                                       std::move(*from.mutable_attempt_replied()->mutable_body())};
+            case wire::Envelope::kAttemptFailed:
+                return read(from.attempt_failed());
+            case wire::Envelope::kCancelAttempt:
+                return cancel_attempt{read(from.cancel_attempt().attempt())};
+            case wire::Envelope::kAttemptQuery:
+                return attempt_query{read(from.attempt_query().attempt()), index(from.attempt_query().have_tokens())};
+            case wire::Envelope::kAttemptStatus:
+                return attempt_status{read(from.attempt_status().attempt()),
+                                      enumerator(from.attempt_status().state(), attempt_state::running)};
+            case wire::Envelope::kKeyedCall:
+                return read(*from.mutable_keyed_call());
+            case wire::Envelope::kKeyedReply:
+                return read(from.keyed_reply());
+            default:
+                return read_part(from);
+        }
+    }
+
+    std::optional<peer_message> read_part(const wire::Envelope& from) {
+        const auto fields = [this](const wire::PartMessage& part) {
+            return std::tuple(read(part.attempt()), server_name(part.server()), part.reservation());
+        };
+        switch (from.message_case()) {
+            case wire::Envelope::kReservePart: {
+                auto [attempt, server, reservation] = fields(from.reserve_part());
+                return reserve_part{attempt, server, reservation, tokens(from.reserve_part().tokens()),
+                                    time(from.reserve_part().expires_in_us())};
+            }
+            case wire::Envelope::kPartAnswer: {
+                auto [attempt, server, reservation] = fields(from.part_answer());
+                return part_answer{attempt, server, reservation, from.part_answer().granted()};
+            }
+            case wire::Envelope::kConfirmPart:
+                return std::make_from_tuple<confirm_part>(fields(from.confirm_part()));
+            case wire::Envelope::kReleasePart:
+                return std::make_from_tuple<release_part>(fields(from.release_part()));
+            default:
+                return std::nullopt;
+        }
+    }
+
+    release_servers read_released(const wire::ReleaseServers& from) {
+        release_servers to;
+        for (const std::string& server : from.servers()) {
+            to.servers.emplace_back(server);
+        }
+        return to;
+    }
+
+    attempt_tokens read_tokens(const wire::AttemptTokens& from) {
+        attempt_tokens to;
+        to.attempt = read(from.attempt());
+        to.first_index = index(from.first_index());
+        to.tokens.assign(from.tokens().begin(), from.tokens().end());
+        return to;
+    }
+
+    bool m_good = true;
+};
+
+}  // namespace
+
+std::string encode_message(const daemon_id& from, const peer_message& message) {
+    google::protobuf::Arena arena;
+    auto* envelope = google::protobuf::Arena::CreateMessage<wire::Envelope>(&arena);
+    write(from, *envelope->mutable_from());
+    std::visit(encoder{*envelope}, message);
+    return envelope->SerializeAsString();
+}
+
+codec_result<addressed_message> decode_message(std::span<const std::byte> bytes) {
+    if (bytes.size() > longest_peer_message) {
+        return codec_error::too_long;
+    }
+    google::protobuf::Arena arena;
+    auto* envelope = google::protobuf::Arena::CreateMessage<wire::Envelope>(&arena);
+    if (!envelope->ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || !envelope->has_from()) {
+        return codec_error::malformed;
+    }
+    if (envelope->message_case() == wire::Envelope::MESSAGE_NOT_SET) {
+        return codec_error::unknown_kind;
+    }
+    decoder reader;
+    const daemon_id from = reader.read(envelope->from());
+    std::optional<peer_message> message = reader.read(*envelope);
+    if (!message) {
+        return codec_error::unknown_kind;
+    }
+    if (!reader.good()) {
+        return codec_error::bad_value;
+    }
+    return addressed_message{from, *std::move(message)};
+}
+
+}  // namespace verbenahold
