Reserve KV memory on several servers for very long prompts

The caller side runs one group_reservation per very long request, submits to the lead's owner when all parts are held and releases them at the end.

--- a/src/core/caller_attempts.cpp
+++ b/src/core/caller_attempts.cpp
@@ -299,7 +299,7 @@
 void caller_side::check(open_request& request, context& ctx) {
     if (ctx.now >= request.deadline) {
         send_cancel(request, ctx);
-        if (request.phase != request_phase::placing) {
+        if (request.phase != request_phase::placing && request.phase != request_phase::reserving) {
             request.may_have_run = true;
         }
         const bool doubtful = !request.work.idempotent && request.may_have_run;
@@ -313,6 +313,10 @@
         }
         return;
     }
+    if (m_groups.contains(request.id)) {
+        check_group(request, ctx);
+        return;
+    }
     check_attempt(request, ctx);
 }
 
@@ -343,7 +347,7 @@
 }
 
 void caller_side::send_cancel(const open_request& request, context& ctx) {
-    if (request.phase == request_phase::placing) {
+    if (request.phase == request_phase::placing || request.phase == request_phase::reserving) {
         return;
     }
     ctx.members.send(request.owner, cancel_attempt{request.work.attempt}, ctx.out);
--- a/src/core/caller_side.cpp
+++ b/src/core/caller_side.cpp
@@ -189,6 +189,10 @@
 }
 
 void caller_side::place(open_request& request, context& ctx) {
+    if (request.work.length == length_class::very_long_prompt) {
+        start_group(request, ctx);
+        return;
+    }
     const routing_spec routing = ctx.config.routing_for(request.work.service);
     placement_query query;
     query.service = request.work.service;
@@ -230,20 +234,24 @@
     request.work.attempt.number += 1;
     request.work.preferred_server = choice.preferred_server;
     request.work.uncached_tokens = std::max<std::int64_t>(1, request.work.prompt_tokens - choice.cached_tokens);
+    request.zone = choice.zone;
+    m_summaries.note_sent(choice.owner, request.work.service, choice.zone, request.work.uncached_tokens,
+                          request.work.length);
+    submit_to(request, choice.owner, ctx);
+}
+
+void caller_side::submit_to(open_request& request, const daemon_id& owner, context& ctx) {
     request.work.generated = request.answer.tokens();
     request.work.time_left = request.deadline - ctx.now;
     request.phase = request_phase::submitted;
-    request.owner = choice.owner;
-    request.zone = choice.zone;
+    request.owner = owner;
     request.server = {};
     request.attempt_started = ctx.now;
     request.last_heard = ctx.now;
     request.last_query = ctx.now;
     request.placements += 1;
     request.answer.drop_beyond_gap();
-    m_summaries.note_sent(choice.owner, request.work.service, choice.zone, request.work.uncached_tokens,
-                          request.work.length);
-    ctx.members.send(choice.owner, request.work, ctx.out);
+    ctx.members.send(owner, request.work, ctx.out);
 }
 
 void caller_side::refuse_ticket(std::uint64_t ticket, refusal code, std::string message, duration retry_after,
@@ -283,6 +291,7 @@
     if (const auto* ticket = std::get_if<std::uint64_t>(&request.target)) {
         m_by_ticket.erase(*ticket);
     }
+    release_group(id, ctx);
     m_requests.erase(found);
 }
 
--- a/src/core/caller_side.hpp
+++ b/src/core/caller_side.hpp
@@ -5,6 +5,7 @@
 #include "account_limits.hpp"
 #include "cost_model.hpp"
 #include "crash_evidence.hpp"
+#include "group_reservation.hpp"
 #include "membership.hpp"
 #include "open_request.hpp"
 #include "ownership.hpp"
@@ -74,6 +75,7 @@
     void on_replied(const daemon_id& from, const attempt_replied& message, context& ctx);
     void on_failed(const daemon_id& from, const attempt_failed& message, context& ctx);
     void on_status(const daemon_id& from, const attempt_status& message, context& ctx);
+    void on_part_answer(const part_answer& message, context& ctx);
     // Summaries of daemons that are not live are ignored: they would stay.
     void on_summary(const daemon_id& from, const owner_summary& summary, const context& ctx);
     void on_tick(context& ctx);
@@ -96,7 +98,18 @@
     void open_and_place(open_request request, context& ctx);
     void place(open_request& request, context& ctx);
     void send_attempt(open_request& request, const placement_choice& choice, context& ctx);
+    void submit_to(open_request& request, const daemon_id& owner, context& ctx);
     void pause_placing(open_request& request, context& ctx);
+
+    // Very long prompts, in caller_groups.cpp.
+    using group_messages = std::vector<group_reservation::outgoing>;
+    void start_group(open_request& request, context& ctx);
+    void check_group(open_request& request, context& ctx);
+    void submit_group(open_request& request, group_reservation& group, context& ctx);
+    void release_group(const request_id& id, context& ctx);
+    static std::vector<group_reservation::candidate> list_group_candidates(const open_request& request,
+                                                                           const context& ctx);
+    static void send_group_messages(group_messages& messages, context& ctx);
     void retry_after_loss(open_request& request, context& ctx);
     void lose_owner(open_request& request, context& ctx);
     void check(open_request& request, context& ctx);
@@ -119,6 +132,7 @@
     std::uint64_t m_last_sequence = 0;
     request_map m_requests;
     std::unordered_map<std::uint64_t, request_id> m_by_ticket;
+    std::unordered_map<request_id, group_reservation> m_groups;
     std::vector<keyed_end> m_keyed_ends;
     std::optional<time_point> m_next_check;
     account_limits m_limits;
--- a/src/core/entry_parts.cpp
+++ b/src/core/entry_parts.cpp
@@ -362,8 +362,9 @@
     m_servers.on_reserve_part(from, message, ctx);
 }
 
-void entry_core::parts::receive(const daemon_id& /*from*/, const part_answer& /*message*/) {
-    // No part is asked for before group_reservation is wired in.
+void entry_core::parts::receive(const daemon_id& /*from*/, const part_answer& message) {
+    auto ctx = caller_context();
+    m_callers.on_part_answer(message, ctx);
 }
 
 void entry_core::parts::receive(const daemon_id& from, const confirm_part& message) {
