--- /dev/null
+++ b/src/core/attempt_record.cpp
@@ -0,0 +1,109 @@
+#include "attempt_record.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace verbenahold {
+
+attempt_record& attempt_table::insert(const daemon_id& from, const submit& request, time_point now) {
+    auto added = std::make_unique<attempt_record>();
+    added->request = request;
+    added->caller = from;
+    added->submitted = now;
+    added->deadline = now + request.time_left;
+    for (const std::string& token : request.generated)
+        added->checksum.add(token);
+    attempt_record& record = *added;
+    m_records[request.attempt] = std::move(added);
+    m_deadlines.emplace(record.deadline, &record);
+    return record;
+}
+
+attempt_record* attempt_table::find(const attempt_id& attempt) {
+    const auto found = m_records.find(attempt);
+    return found == m_records.end() ? nullptr : found->second.get();
+}
+
+attempt_record* attempt_table::find_stream(std::string_view stream) {
+    const auto found = m_streams.find(std::string(stream));
+    return found == m_streams.end() ? nullptr : found->second;
+}
+
+void attempt_table::name_stream(attempt_record& record, std::string stream) {
+    forget_stream(record);
+    record.stream = std::move(stream);
+    m_streams[record.stream] = &record;
+}
+
+void attempt_table::forget_stream(attempt_record& record) {
+    if (!record.stream.empty())
+        m_streams.erase(record.stream);
+    record.stream.clear();
+}
+
+void attempt_table::end(attempt_record& record, peer_message message, time_point now) {
+    m_deadlines.erase({record.deadline, &record});
+    forget_stream(record);
+    record.phase = attempt_phase::ended;
+    record.end = std::move(message);
+    // The prompt may hold megabytes and is needed no more.
+    record.request.body.reset();
+    m_expiries.emplace(now + resend_buffer_time, record.request.attempt);
+    m_expiries.emplace(std::max(record.deadline, now) + end_memory_past_deadline, record.request.attempt);
+}
+
+void attempt_table::bury(attempt_id attempt, time_point now) {
+    if (const auto found = m_records.find(attempt); found != m_records.end()) {
+        forget_stream(*found->second);
+        m_deadlines.erase({found->second->deadline, found->second.get()});
+        m_records.erase(found);
+    }
+    m_tombstones[attempt] = now + tombstone_lifetime;
+    m_expiries.emplace(now + tombstone_lifetime, std::move(attempt));
+}
+
+bool attempt_table::is_tombstoned(const attempt_id& attempt) const {
+    return m_tombstones.contains(attempt);
+}
+
+std::vector<attempt_id> attempt_table::find_overdue(time_point now) const {
+    std::vector<attempt_id> overdue;
+    for (const auto& [deadline, record] : m_deadlines) {
+        if (deadline > now)
+            break;
+        overdue.push_back(record->request.attempt);
+    }
+    return overdue;
+}
+
+std::optional<time_point> attempt_table::next_deadline() const {
+    if (m_deadlines.empty())
+        return std::nullopt;
+    return m_deadlines.begin()->first;
+}
+
+void attempt_table::expire(time_point now) {
+    while (!m_expiries.empty() && m_expiries.begin()->first <= now) {
+        const attempt_id attempt = m_expiries.begin()->second;
+        m_expiries.erase(m_expiries.begin());
+        if (const auto found = m_tombstones.find(attempt); found != m_tombstones.end() && found->second <= now)
+            m_tombstones.erase(found);
+        attempt_record* record = find(attempt);
+        if (record == nullptr || record->phase != attempt_phase::ended)
+            continue;
+        if (now >= record->deadline + end_memory_past_deadline)
+            m_records.erase(attempt);
+        else
+            record->tokens = {};
+    }
+}
+
+std::vector<attempt_id> attempt_table::list_live() const {
+    std::vector<attempt_id> live;
+    live.reserve(m_deadlines.size());
+    for (const auto& [deadline, record] : m_deadlines)
+        live.push_back(record->request.attempt);
+    return live;
+}
+
+}  // namespace verbenahold
--- /dev/null
+++ b/src/core/crash_evidence.cpp
@@ -0,0 +1,86 @@
+#include "crash_evidence.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <limits>
+
+namespace verbenahold {
+
+namespace {
+
+// How long a strike, or the memory that a request was cleared, lasts.
+constexpr duration strike_lifetime = std::chrono::minutes(10);
+
+// Remaining durations lose the transit time of each hop, so two ages closer
+// than this are taken as the same event.
+constexpr duration age_tolerance = std::chrono::seconds(1);
+
+}  // namespace
+
+void crash_evidence::on_server_death(std::span<const std::uint64_t> fingerprints, bool ran_alone, time_point now) {
+    m_now = std::max(m_now, now);
+    drop_expired(now);
+    for (const std::uint64_t fingerprint : fingerprints) {
+        entry& found = m_entries[fingerprint];
+        const bool may_add = found.strikes == 0 || ran_alone;
+        if (may_add && found.strikes < std::numeric_limits<std::uint8_t>::max())
+            ++found.strikes;
+        found.expires = now + strike_lifetime;
+    }
+}
+
+void crash_evidence::note_suspect(std::uint64_t fingerprint, time_point now) {
+    m_now = std::max(m_now, now);
+    const auto [found, added] = m_entries.try_emplace(fingerprint, entry{1, now + strike_lifetime});
+    if (!added && found->second.expires <= now)
+        found->second = entry{1, now + strike_lifetime};
+}
+
+void crash_evidence::on_completed(std::uint64_t fingerprint) {
+    const auto found = m_entries.find(fingerprint);
+    if (found == m_entries.end() || found->second.strikes == 0)
+        return;
+    found->second = entry{0, m_now + strike_lifetime};
+}
+
+void crash_evidence::on_gossip(std::span<const crash_strike> strikes, time_point now) {
+    m_now = std::max(m_now, now);
+    for (const crash_strike& strike : strikes) {
+        const duration left = std::min(strike.expires_in, strike_lifetime);
+        if (left <= duration::zero())
+            continue;
+        const entry heard{strike.strikes, now + left};
+        const auto [found, added] = m_entries.try_emplace(strike.fingerprint, heard);
+        if (added)
+            continue;
+        entry& known = found->second;
+        const bool newer = heard.expires > known.expires + age_tolerance;
+        const bool older = heard.expires + age_tolerance < known.expires;
+        if (newer || (!older && heard.strikes > known.strikes))
+            known = heard;
+    }
+}
+
+std::uint8_t crash_evidence::strikes(std::uint64_t fingerprint, time_point now) const {
+    const auto found = m_entries.find(fingerprint);
+    if (found == m_entries.end() || found->second.expires <= now)
+        return 0;
+    return found->second.strikes;
+}
+
+std::vector<crash_strike> crash_evidence::export_strikes(time_point now) const {
+    std::vector<crash_strike> live;
+    for (const auto& [fingerprint, known] : m_entries)
+        if (known.expires > now)
+            live.push_back({fingerprint, known.strikes, known.expires - now});
+    std::ranges::sort(live, [](const crash_strike& left, const crash_strike& right) {
+        return std::pair(right.expires_in, left.fingerprint) < std::pair(left.expires_in, right.fingerprint);
+    });
+    return live;
+}
+
+void crash_evidence::drop_expired(time_point now) {
+    std::erase_if(m_entries, [now](const auto& item) { return item.second.expires <= now; });
+}
+
+}  // namespace verbenahold
--- /dev/null
+++ b/src/core/memory_sweep.cpp
@@ -0,0 +1,109 @@
+#include "memory_sweep.hpp"
+
+#include <charconv>
+#include <utility>
+
+namespace verbenahold {
+
+namespace {
+
+// Own streams that this daemon does not know are cancelled after this many
+// listings: one listing may have been made before the stream ended.
+constexpr int unknown_listings_needed = 2;
+
+std::vector<std::string_view> split_fields(std::string_view id) {
+    std::vector<std::string_view> fields;
+    while (true) {
+        const std::size_t dot = id.find('.');
+        fields.push_back(id.substr(0, dot));
+        if (dot == std::string_view::npos)
+            return fields;
+        id.remove_prefix(dot + 1);
+    }
+}
+
+std::optional<daemon_id> parse_daemon(std::string_view host, std::string_view incarnation) {
+    std::uint64_t number = 0;
+    const char* end = incarnation.data() + incarnation.size();
+    const auto [stop, error] = std::from_chars(incarnation.data(), end, number);
+    if (host.empty() || error != std::errc() || stop != end)
+        return std::nullopt;
+    return daemon_id{host_name(host), number};
+}
+
+}  // namespace
+
+std::optional<daemon_id> parse_stream_owner(std::string_view stream) {
+    constexpr std::size_t stream_fields = 6;
+    const std::vector<std::string_view> fields = split_fields(stream);
+    if (fields.size() != stream_fields)
+        return std::nullopt;
+    return parse_daemon(fields[4], fields[5]);
+}
+
+std::optional<daemon_id> parse_origin(std::string_view id) {
+    const std::vector<std::string_view> fields = split_fields(id);
+    if (fields.size() < 3)
+        return std::nullopt;
+    return parse_daemon(fields[0], fields[1]);
+}
+
+memory_sweep::result memory_sweep::on_listing(const stream_listing& listing, const membership& members,
+                                              const std::function<bool(std::string_view)>& is_known, time_point now) {
+    result swept;
+    std::unordered_map<std::string, sighting> still_there;
+    for (const listed_stream& stream : listing.streams) {
+        sighting seen = m_sightings[stream.stream];
+        if (must_cancel(stream, members, is_known(stream.stream), seen, now))
+            swept.streams.push_back(stream.stream);
+        still_there[stream.stream] = seen;
+    }
+    for (const listed_reservation& held : listing.reservations) {
+        sighting seen = m_sightings[held.reservation];
+        const std::optional<daemon_id> origin = parse_origin(held.reservation);
+        if (origin && !is_known(held.reservation) && is_creator_dead(*origin, members, seen, now))
+            swept.reservations.push_back(held.reservation);
+        still_there[held.reservation] = seen;
+    }
+    m_sightings = std::move(still_there);
+    return swept;
+}
+
+bool memory_sweep::must_cancel(const listed_stream& stream, const membership& members, bool known, sighting& seen,
+                               time_point now) const {
+    if (stream.has_reader)
+        seen.without_reader.reset();
+    else if (!seen.without_reader)
+        seen.without_reader = now;
+    const std::optional<daemon_id> creator = parse_stream_owner(stream.stream);
+    if (!creator || known) {
+        seen.unknown_listings = 0;
+        return false;
+    }
+    if (*creator == members.self())
+        return ++seen.unknown_listings >= unknown_listings_needed;
+    const bool dead = is_creator_dead(*creator, members, seen, now);
+    return dead && seen.without_reader && now - *seen.without_reader >= no_reader_age;
+}
+
+bool memory_sweep::is_creator_dead(const daemon_id& creator, const membership& members, sighting& seen,
+                                   time_point now) const {
+    const daemon_id& self = members.self();
+    if (creator == self)
+        return false;
+    if (creator.host == self.host && creator.incarnation < self.incarnation)
+        return true;
+    if (members.is_live(creator)) {
+        seen.unknown_creator.reset();
+        return false;
+    }
+    if (members.is_dead_for(creator, dead_creator_age, now))
+        return true;
+    if (members.find(creator) != nullptr)
+        return false;
+    if (!seen.unknown_creator)
+        seen.unknown_creator = now;
+    return now - *seen.unknown_creator >= unknown_creator_age;
+}
+
+}  // namespace verbenahold
--- /dev/null
+++ b/src/core/owner_events.cpp
@@ -0,0 +1,362 @@
+// owner_side: events of backend servers.
+#include "owner_state.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace verbenahold {
+
+namespace {
+
+// Silences in a row after which a server is treated as dead.
+constexpr int silences_to_death = 2;
+// A listing may overtake the opening of a stream by about this much.
+constexpr duration listing_overtake = std::chrono::milliseconds(100);
+// A plain call that failed is taken for lost in a crash that shows this soon
+// afterwards.
+constexpr duration reset_memory = std::chrono::seconds(3);
+// Answers of a service needed before its predicted token gap is trusted.
+constexpr int learned_gaps_needed = 8;
+
+void note_alive(attempt_record& record, time_point now) {
+    record.last_heard = now;
+    record.silences = 0;
+    record.opened = true;
+}
+
+}  // namespace
+
+attempt_record* owner_side::state::find_running(const server_name& server, std::string_view stream) {
+    attempt_record* record = attempts.find_stream(stream);
+    // Late events of a server that refused the stream must not touch its run
+    // on another server.
+    return record != nullptr && record->server == server ? record : nullptr;
+}
+
+attempt_record* owner_side::state::find_call(const server_name& server, const attempt_id& attempt) {
+    attempt_record* record = attempts.find(attempt);
+    const bool running = record != nullptr && record->phase == attempt_phase::running && record->server == server;
+    return running ? record : nullptr;
+}
+
+void owner_side::state::send_listing_request(server_state& server, context& ctx) {
+    server.want_listing(ctx.now);
+    if (server.take_due_listing(ctx.now))
+        ctx.out.push_back(list_streams{server.server().name, server.server().address});
+}
+
+void owner_side::state::reopen(attempt_record& record, context& ctx) {
+    const server_state* server = find_server(record.server);
+    if (server == nullptr)
+        return;
+    record.last_heard = ctx.now;
+    ctx.out.push_back(count{"owner_streams_reopened", 1});
+    ctx.out.push_back(reopen_stream{record.server, server->server().address, record.stream, record.next_index()});
+}
+
+// The connection of a stream ended or went silent. The first time it is opened
+// anew, the second time in a row the server is dead.
+void owner_side::state::connection_lost(attempt_record& record, context& ctx) {
+    ++record.silences;
+    if (record.silences < silences_to_death) {
+        reopen(record, ctx);
+        return;
+    }
+    const service_name service = record.request.service;
+    if (server_state* server = find_server(record.server))
+        server_died(*server, ctx);
+    pump(work_of(service, ctx), ctx);
+}
+
+// ---- streams
+
+void owner_side::on_event(const stream_opened& event, context& ctx) {
+    if (attempt_record* record = m_state->find_running(event.server, event.stream))
+        note_alive(*record, ctx.now);
+}
+
+void owner_side::on_event(const stream_heartbeat& event, context& ctx) {
+    if (attempt_record* record = m_state->find_running(event.server, event.stream))
+        note_alive(*record, ctx.now);
+}
+
+void owner_side::on_event(const stream_tokens& event, context& ctx) {
+    attempt_record* record = m_state->find_running(event.server, event.stream);
+    if (record == nullptr)
+        return;
+    note_alive(*record, ctx.now);
+    m_state->add_tokens(*record, event, ctx);
+}
+
+void owner_side::state::add_tokens(attempt_record& record, const stream_tokens& event, context& ctx) {
+    const std::uint64_t next = record.next_index();
+    if (event.first_index > next) {
+        // Tokens are missing in between; the engine still has them.
+        reopen(record, ctx);
+        return;
+    }
+    const std::uint64_t known = next - event.first_index;
+    if (known >= event.tokens.size())
+        return;
+    std::vector<std::string> fresh(event.tokens.begin() + static_cast<std::ptrdiff_t>(known), event.tokens.end());
+    note_gap(record, fresh.size(), ctx);
+    for (const std::string& token : fresh) {
+        record.checksum.add(token);
+        record.tokens.push_back(token);
+    }
+    ctx.members.send(record.caller, attempt_tokens{record.request.attempt, next, std::move(fresh)}, ctx.out);
+}
+
+void owner_side::state::note_gap(attempt_record& record, std::size_t new_tokens, context& ctx) {
+    server_state* server = find_server(record.server);
+    if (server == nullptr)
+        return;
+    const service_name& service = record.request.service;
+    if (!record.has_tokens) {
+        costs.on_prefill(service, record.prefill_tokens, ctx.now - record.started);
+        server->end_prefill(record);
+        record.has_tokens = true;
+        record.first_token = ctx.now;
+        record.last_token = ctx.now;
+        // Prefill budget is free again.
+        pump(work_of(service, ctx), ctx);
+        return;
+    }
+    const duration gap = (ctx.now - record.last_token) / static_cast<std::int64_t>(new_tokens);
+    record.last_token = ctx.now;
+    if (work_of(service, ctx).gaps_learned < learned_gaps_needed)
+        return;
+    if (server->on_token_gap(gap, costs.predict_token_gap(service), ctx.now))
+        ctx.out.push_back(log_change{"server slow, treated as cold: " + record.server.value});
+}
+
+void owner_side::on_event(const stream_finished& event, context& ctx) {
+    state& owner = *m_state;
+    attempt_record* record = owner.find_running(event.server, event.stream);
+    if (record == nullptr)
+        return;
+    note_alive(*record, ctx.now);
+    if (record->next_index() < event.token_count) {
+        owner.reopen(*record, ctx);
+        return;
+    }
+    const submit& request = record->request;
+    state::service_work& work = owner.work_of(request.service, ctx);
+    if (server_state* server = owner.find_server(event.server))
+        server->note_completed(*record);
+    owner.strikes.on_completed(request.fingerprint);
+    owner.costs.on_output(request.service, request.account, static_cast<std::int64_t>(record->next_index()));
+    if (record->tokens.size() > 1) {
+        const auto gaps = static_cast<std::int64_t>(record->tokens.size() - 1);
+        owner.costs.on_token_gap(request.service, (record->last_token - record->first_token) / gaps);
+        ++work.gaps_learned;
+    }
+    attempt_finished message{request.attempt,     record->next_index(), record->checksum.value(), event.finish_reason,
+                             event.cached_tokens, event.server,         owner.summarize(ctx)};
+    owner.finish(*record, std::move(message), ctx);
+    owner.pump(work, ctx);
+}
+
+// Nothing ran: the attempt goes back to the queue.
+void owner_side::state::stream_refused(attempt_record& record, backend_failure failure, context& ctx) {
+    server_state* server = find_server(record.server);
+    const service_name service = record.request.service;
+    ctx.out.push_back(count{"owner_dispatches_refused", 1});
+    if (server != nullptr && failure == backend_failure::overloaded)
+        server->on_refused_work(ctx.now);
+    if (server != nullptr && failure == backend_failure::out_of_memory)
+        server->on_out_of_memory(ctx.now);
+    return_to_queue(record, ctx);
+    if (server != nullptr && failure == backend_failure::refused)
+        server_died(*server, ctx);
+    pump(work_of(service, ctx), ctx);
+}
+
+void owner_side::on_event(const stream_failed& event, context& ctx) {
+    state& owner = *m_state;
+    attempt_record* record = owner.find_running(event.server, event.stream);
+    if (record == nullptr)
+        return;
+    const bool opening = !record->opened && record->silences == 0;
+    const service_name service = record->request.service;
+    switch (event.failure) {
+        case backend_failure::refused:
+        case backend_failure::overloaded:
+        case backend_failure::out_of_memory:
+            if (opening) {
+                owner.stream_refused(*record, event.failure, ctx);
+                return;
+            }
+            if (event.failure == backend_failure::refused) {
+                owner.server_died(*owner.find_server(event.server), ctx);
+                break;
+            }
+            owner.connection_lost(*record, ctx);
+            return;
+        case backend_failure::rejected:
+            if (opening && event.message.find("stream_exists") == std::string::npos) {
+                owner.fail(*record, attempt_failure::bad_request, ran_state::no, event.message, ctx);
+                break;
+            }
+            owner.connection_lost(*record, ctx);
+            return;
+        case backend_failure::unknown_stream:
+            // Either the server restarted or it lost this one stream; an exact
+            // listing tells.
+            record->lost_since = ctx.now;
+            owner.send_listing_request(*owner.find_server(event.server), ctx);
+            return;
+        case backend_failure::reset:
+        case backend_failure::timed_out:
+        case backend_failure::bad_answer:
+            owner.connection_lost(*record, ctx);
+            return;
+    }
+    owner.pump(owner.work_of(service, ctx), ctx);
+}
+
+// ---- plain calls
+
+void owner_side::on_event(const service_replied& event, context& ctx) {
+    state& owner = *m_state;
+    attempt_record* record = owner.find_call(event.server, event.attempt);
+    if (record == nullptr)
+        return;
+    const service_name service = record->request.service;
+    if (server_state* server = owner.find_server(event.server))
+        server->note_completed(*record);
+    owner.strikes.on_completed(record->request.fingerprint);
+    owner.finish(*record, attempt_replied{event.attempt, event.status, event.content_type, event.body}, ctx);
+    owner.pump(owner.work_of(service, ctx), ctx);
+}
+
+void owner_side::on_event(const service_failed& event, context& ctx) {
+    state& owner = *m_state;
+    attempt_record* record = owner.find_call(event.server, event.attempt);
+    if (record == nullptr)
+        return;
+    const service_name service = record->request.service;
+    switch (event.failure) {
+        case backend_failure::refused:
+        case backend_failure::overloaded:
+        case backend_failure::out_of_memory:
+            owner.stream_refused(*record, event.failure, ctx);
+            return;
+        case backend_failure::rejected:
+            owner.fail(*record, attempt_failure::bad_request, ran_state::unknown, "the service rejected the call", ctx);
+            break;
+        case backend_failure::reset:
+        case backend_failure::timed_out:
+        case backend_failure::bad_answer:
+        case backend_failure::unknown_stream:
+            // The call may have run. The caller side decides whether it may be
+            // made again.
+            owner.recent_resets[event.server].emplace_back(ctx.now, record->request.fingerprint);
+            if (server_state* server = owner.find_server(event.server))
+                server->want_poll(ctx.now);
+            owner.fail(*record, attempt_failure::server_died, ran_state::unknown, "connection lost after sending", ctx);
+            break;
+    }
+    owner.pump(owner.work_of(service, ctx), ctx);
+    owner.poll_servers(ctx);
+}
+
+// ---- load and listings
+
+void owner_side::on_event(const load_report& event, context& ctx) {
+    state& owner = *m_state;
+    server_state* server = owner.find_server(event.server);
+    if (server == nullptr)
+        return;
+    const bool restarted = server->on_report(event, ctx.now);
+    auto& resets = owner.recent_resets[event.server];
+    std::erase_if(resets, [&](const auto& item) { return ctx.now - item.first > reset_memory; });
+    if (restarted) {
+        ctx.out.push_back(log_change{"server restarted, treated as cold: " + event.server.value});
+        std::vector<std::uint64_t> fingerprints;
+        for (const auto& [when, fingerprint] : resets)
+            fingerprints.push_back(fingerprint);
+        owner.strikes.on_server_death(fingerprints, false, ctx.now);
+        resets.clear();
+    }
+    if (resets.empty())
+        owner.recent_resets.erase(event.server);
+    owner.poll_servers(ctx);
+    owner.pump(owner.work_of(server->server().service, ctx), ctx);
+}
+
+void owner_side::on_event(const load_failed& event, context& ctx) {
+    state& owner = *m_state;
+    server_state* server = owner.find_server(event.server);
+    if (server == nullptr)
+        return;
+    server->on_poll_failed(ctx.now);
+    if (event.failure != backend_failure::refused || server->is_dead())
+        return;
+    const service_name service = server->server().service;
+    owner.server_died(*server, ctx);
+    owner.pump(owner.work_of(service, ctx), ctx);
+}
+
+void owner_side::on_event(const stream_listing& event, context& ctx) {
+    state& owner = *m_state;
+    server_state* server = owner.find_server(event.server);
+    if (server == nullptr)
+        return;
+    const bool restarted = server->on_listing(event, owner.own_suffix, ctx.now);
+    owner.check_streams(*server, event, restarted, ctx);
+    owner.sweep(*server, event, ctx);
+    owner.pump(owner.work_of(server->server().service, ctx), ctx);
+}
+
+// Compares own running streams with what the server really has.
+void owner_side::state::check_streams(server_state& server, const stream_listing& event, bool restarted, context& ctx) {
+    std::vector<attempt_record*> died;
+    std::vector<attempt_record*> lost;
+    std::vector<attempt_record*> found;
+    for (attempt_record* record : server.running()) {
+        if (record->request.kind == call_kind::plain)
+            continue;
+        const bool listed =
+            std::ranges::find(event.streams, record->stream, &listed_stream::stream) != event.streams.end();
+        const bool old = record->started + listing_overtake < server.listing_asked_at();
+        if (listed && record->lost_since)
+            found.push_back(record);
+        else if (!listed && restarted && (old || record->lost_since))
+            died.push_back(record);
+        else if (!listed && record->lost_since && *record->lost_since <= server.listing_asked_at())
+            lost.push_back(record);
+    }
+    if (!died.empty())
+        attempts_died(died, ctx);
+    for (attempt_record* record : lost)
+        fail_running(*record, strikes.strikes(record->request.fingerprint, ctx.now), ctx);
+    for (attempt_record* record : found) {
+        record->lost_since.reset();
+        connection_lost(*record, ctx);
+    }
+}
+
+void owner_side::state::sweep(const server_state& server, const stream_listing& event, context& ctx) {
+    if (!server.owned())
+        return;
+    const server_name& name = server.server().name;
+    const auto is_known = [&](std::string_view id) {
+        return find_running(name, id) != nullptr || parts.contains(std::string(id));
+    };
+    const memory_sweep::result swept = sweeps[name].on_listing(event, ctx.members, is_known, ctx.now);
+    for (const std::string& stream : swept.streams)
+        ctx.out.push_back(cancel_stream{name, server.server().address, stream});
+    for (const std::string& reservation : swept.reservations)
+        ctx.out.push_back(release_memory{name, server.server().address, reservation});
+    const std::size_t freed = swept.streams.size() + swept.reservations.size();
+    if (freed > 0)
+        ctx.out.push_back(count{"owner_swept", static_cast<std::int64_t>(freed)});
+}
+
+void owner_side::on_event(const cache_event& /*event*/, context& /*ctx*/) {
+    // Prefix hints live in prefix_index, at the caller side.
+}
+
+}  // namespace verbenahold
--- /dev/null
+++ b/src/core/owner_parts.cpp
@@ -0,0 +1,214 @@
+// owner_side: parts of very long prompts, as KV memory on owned servers.
+#include "owner_state.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace verbenahold {
+
+namespace {
+
+// The engine keeps a confirmed part until it is freed; the sweep frees those
+// whose caller side has died.
+constexpr duration keep_until_freed = duration::zero();
+
+}  // namespace
+
+void owner_side::on_reserve_part(const daemon_id& from, const reserve_part& message, context& ctx) {
+    state& owner = *m_state;
+    const auto answer = [&](bool granted) {
+        ctx.members.send(from, part_answer{message.attempt, message.server, message.reservation, granted}, ctx.out);
+    };
+    if (const auto known = owner.parts.find(message.reservation); known != owner.parts.end()) {
+        if (known->second.granted)
+            answer(true);
+        return;
+    }
+    server_state* server = owner.find_server(message.server);
+    const bool usable = server != nullptr && !owner.draining && ctx.config_confirmed && server->is_usable(ctx.now) &&
+                        owner.is_server_in(*server, ctx);
+    if (!usable || server->free_kv() < message.tokens) {
+        answer(false);
+        return;
+    }
+    server->hold_part(message.reservation, message.tokens);
+    owner.parts[message.reservation] = {message, from, ctx.now + message.expires_in, false, false, std::nullopt};
+    ctx.out.push_back(reserve_memory{message.server, server->server().address, message.reservation, message.tokens,
+                                     message.expires_in});
+}
+
+void owner_side::on_confirm_part(const daemon_id& from, const confirm_part& message, context& ctx) {
+    state& owner = *m_state;
+    const auto found = owner.parts.find(message.reservation);
+    if (found == owner.parts.end()) {
+        // It has expired or its server has died.
+        ctx.members.send(from, part_answer{message.attempt, message.server, message.reservation, false}, ctx.out);
+        return;
+    }
+    state::held_part& part = found->second;
+    if (part.confirmed)
+        return;
+    part.confirmed = true;
+    const server_state* server = owner.find_server(message.server);
+    ctx.out.push_back(reserve_memory{message.server, server->server().address, message.reservation, part.request.tokens,
+                                     keep_until_freed});
+}
+
+void owner_side::on_release_part(const daemon_id& /*from*/, const release_part& message, context& ctx) {
+    m_state->release_held(message.reservation, ctx);
+}
+
+void owner_side::on_event(const memory_reserved& event, context& ctx) {
+    state& owner = *m_state;
+    const auto found = owner.parts.find(event.reservation);
+    if (found == owner.parts.end()) {
+        // Released or expired meanwhile: the engine must not keep it.
+        const server_state* server = owner.find_server(event.server);
+        if (event.granted && server != nullptr)
+            ctx.out.push_back(release_memory{event.server, server->server().address, event.reservation});
+        return;
+    }
+    state::held_part& part = found->second;
+    const reserve_part request = part.request;
+    const daemon_id from = part.from;
+    const bool first = !part.granted;
+    if (part.replaces) {
+        owner.replacement_answered(event, ctx);
+        return;
+    }
+    part.granted = event.granted;
+    if (!event.granted) {
+        if (server_state* server = owner.find_server(event.server))
+            server->free_part(event.reservation);
+        owner.parts.erase(found);
+    }
+    // The answer to the confirmation is only news when it is a refusal.
+    if (first || !event.granted)
+        ctx.members.send(from, part_answer{request.attempt, request.server, request.reservation, event.granted},
+                         ctx.out);
+}
+
+void owner_side::state::release_held(const std::string& reservation, context& ctx) {
+    const auto found = parts.find(reservation);
+    if (found == parts.end())
+        return;
+    const server_name name = found->second.request.server;
+    parts.erase(found);
+    server_state* server = find_server(name);
+    if (server == nullptr)
+        return;
+    server->free_part(reservation);
+    ctx.out.push_back(release_memory{name, server->server().address, reservation});
+    pump(work_of(server->server().service, ctx), ctx);
+}
+
+// Parts on the dead server are gone. Attempts that this owner leads get a
+// replacement; other lead owners learn it from the caller side.
+void owner_side::state::part_server_died(const server_name& server, context& ctx) {
+    std::vector<std::string> gone;
+    for (const auto& [reservation, part] : parts)
+        if (part.request.server == server)
+            gone.push_back(reservation);
+    for (const std::string& reservation : gone) {
+        const held_part part = parts.at(reservation);
+        parts.erase(reservation);
+        if (server_state* dead = find_server(server))
+            dead->free_part(reservation);
+        if (!part.replaces)
+            ctx.members.send(part.from, part_answer{part.request.attempt, server, reservation, false}, ctx.out);
+    }
+    for (const attempt_id& attempt : attempts.list_live()) {
+        attempt_record* record = attempts.find(attempt);
+        if (record->phase != attempt_phase::running)
+            continue;
+        const auto& group = record->request.parts;
+        const auto lost = std::ranges::find(group, server, &memory_part::server);
+        if (lost != group.end())
+            replace_lost_part(*record, *lost, ctx);
+    }
+}
+
+void owner_side::state::replace_lost_part(attempt_record& record, const memory_part& lost, context& ctx) {
+    server_state* best = nullptr;
+    for (server_state* server : work_of(record.request.service, ctx).servers) {
+        const server_name& name = server->server().name;
+        const auto& group = record.request.parts;
+        const bool member =
+            name == record.server || std::ranges::find(group, name, &memory_part::server) != group.end();
+        if (member || !server->is_usable(ctx.now) || !is_server_in(*server, ctx) || server->free_kv() < lost.tokens)
+            continue;
+        if (best == nullptr || server->free_kv() > best->free_kv())
+            best = server;
+    }
+    if (best == nullptr) {
+        cancel_on_server(record, ctx);
+        fail(record, attempt_failure::part_lost, record.has_tokens ? ran_state::yes : ran_state::unknown,
+             "a part of the group died and no other server has room", ctx);
+        return;
+    }
+    // The origin stays in front, so that a sweep can read it from the name.
+    const std::string reservation = lost.reservation + ".r" + std::to_string(++replacements);
+    const server_name& name = best->server().name;
+    best->hold_part(reservation, lost.tokens);
+    parts[reservation] = {{record.request.attempt, name, reservation, lost.tokens, keep_until_freed},
+                          self,
+                          record.deadline,
+                          false,
+                          true,
+                          lost.server};
+    ctx.out.push_back(reserve_memory{name, best->server().address, reservation, lost.tokens, keep_until_freed});
+}
+
+void owner_side::state::replacement_answered(const memory_reserved& event, context& ctx) {
+    held_part& part = parts.at(event.reservation);
+    attempt_record* record = attempts.find(part.request.attempt);
+    const server_name lost_server = *part.replaces;
+    if (!event.granted) {
+        const std::string reservation = event.reservation;
+        if (server_state* server = find_server(event.server)) {
+            server->free_part(reservation);
+            server->on_out_of_memory(ctx.now);
+        }
+        parts.erase(reservation);
+    }
+    if (record == nullptr || record->phase != attempt_phase::running)
+        return;
+    const auto lost = std::ranges::find(record->request.parts, lost_server, &memory_part::server);
+    if (lost == record->request.parts.end())
+        return;
+    if (!event.granted) {
+        replace_lost_part(*record, *lost, ctx);
+        return;
+    }
+    part.granted = true;
+    *lost = memory_part{event.server, event.reservation, part.request.tokens};
+    const server_state* lead = find_server(record->server);
+    const server_state* server = find_server(event.server);
+    ctx.out.push_back(count{"owner_parts_replaced", 1});
+    ctx.out.push_back(replace_part{record->server, lead->server().address, record->stream, lost_server, *lost,
+                                   server->server().address});
+}
+
+void owner_side::state::release_replacements(const attempt_record& record, context& ctx) {
+    std::vector<std::string> ended;
+    for (const auto& [reservation, part] : parts)
+        if (part.replaces && part.request.attempt == record.request.attempt)
+            ended.push_back(reservation);
+    for (const std::string& reservation : ended)
+        release_held(reservation, ctx);
+}
+
+// Frees parts that were not confirmed in time and those of dead caller sides.
+void owner_side::state::expire_parts(context& ctx) {
+    std::vector<std::string> ended;
+    for (const auto& [reservation, part] : parts) {
+        const daemon_id& origin = part.request.attempt.request.origin;
+        const bool dead = origin != self && ctx.members.is_dead_for(origin, duration::zero(), ctx.now);
+        if (dead || (!part.confirmed && ctx.now >= part.expires))
+            ended.push_back(reservation);
+    }
+    for (const std::string& reservation : ended)
+        release_held(reservation, ctx);
+}
+
+}  // namespace verbenahold
--- /dev/null
+++ b/src/core/owner_side.cpp
@@ -0,0 +1,306 @@
+#include "owner_side.hpp"
+
+#include "owner_state.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace verbenahold {
+
+namespace {
+
+// How often running attempts are checked for silence and dead callers.
+constexpr duration scan_interval = std::chrono::milliseconds(100);
+// An engine sends a heartbeat each 500 ms; this silence means that the
+// connection no longer works.
+constexpr duration silence_limit = std::chrono::seconds(2);
+// A lost stream waits this long for the listing that tells why.
+constexpr duration lost_stream_limit = std::chrono::seconds(3);
+// Requests that may queue per request that the servers can run at once. More
+// would wait several run times, and other owners may have room.
+constexpr std::size_t queued_per_slot = 4;
+constexpr std::size_t least_queue_length = 16;
+
+}  // namespace
+
+owner_side::owner_side(const entry_settings& settings, std::uint64_t seed)
+    : m_state(std::make_unique<state>(settings, seed)) {}
+owner_side::~owner_side() = default;
+owner_side::owner_side(owner_side&&) noexcept = default;
+owner_side& owner_side::operator=(owner_side&&) noexcept = default;
+
+// ---- ownership
+
+void owner_side::gain(const backend_server& server, bool released, context& ctx) {
+    if (server_state* known = m_state->find_server(server.name)) {
+        known->refresh(server);
+        if (!known->owned())
+            known->set_owned(released, ctx.now);
+        else if (released)
+            known->end_handover(ctx.now);
+    } else {
+        m_state->servers[server.name] = std::make_unique<server_state>(server, released, ctx.now);
+    }
+    m_state->work_of(server.service, ctx);
+    m_state->list_servers();
+    if (const service_spec* spec = ctx.config.find_service(server.service))
+        m_state->find_server(server.name)->configure(*spec);
+    m_state->poll_servers(ctx);
+}
+
+void owner_side::lose(const server_name& server, context& ctx) {
+    server_state* known = m_state->find_server(server);
+    if (known == nullptr)
+        return;
+    const service_name service = known->server().service;
+    known->set_lost();
+    known->isolated = false;
+    m_state->list_servers();
+    m_state->drop_idle_lost_servers();
+    if (!m_state->work_of(service, ctx).servers.empty())
+        return;
+    for (const attempt_id& attempt : m_state->attempts.list_live()) {
+        attempt_record* record = m_state->attempts.find(attempt);
+        if (record->phase == attempt_phase::queued && record->request.service == service)
+            m_state->bounce_record(*record, bounce_reason::not_owner, ctx);
+    }
+}
+
+void owner_side::refresh(const backend_server& server, context& ctx) {
+    server_state* known = m_state->find_server(server.name);
+    if (known == nullptr || known->server() == server)
+        return;
+    known->refresh(server);
+    m_state->list_servers();
+    m_state->pump(m_state->work_of(server.service, ctx), ctx);
+}
+
+void owner_side::on_release(const daemon_id& /*from*/, std::span<const server_name> servers, context& ctx) {
+    for (const server_name& name : servers)
+        if (server_state* known = m_state->find_server(name))
+            known->end_handover(ctx.now);
+    m_state->pump_all(ctx);
+}
+
+// ---- caller sides
+
+std::optional<bounce_reason> owner_side::state::find_bounce_reason(const submit& message, context& ctx) {
+    if (attempts.is_tombstoned(message.attempt))
+        return bounce_reason::tombstoned;
+    if (draining)
+        return bounce_reason::draining;
+    if (!ctx.config_confirmed)
+        return bounce_reason::configuration_unconfirmed;
+    if (strikes.strikes(message.fingerprint, ctx.now) >= strikes_to_hold)
+        return bounce_reason::held_as_crashing;
+    const service_work& work = work_of(message.service, ctx);
+    if (work.servers.empty() || ctx.config.find_service(message.service) == nullptr)
+        return bounce_reason::not_owner;
+    const auto usable = [&](const server_state* server) {
+        return is_server_in(*server, ctx) && !server->server().leaving;
+    };
+    if (std::ranges::none_of(work.servers, [&](const server_state* server) { return is_server_in(*server, ctx); }))
+        return bounce_reason::zone_out;
+    if (std::ranges::none_of(work.servers, usable))
+        return bounce_reason::not_owner;
+    if (!is_feasible(message, message.time_left))
+        return bounce_reason::deadline_too_short;
+    const bool fits = message.kind == call_kind::plain || std::ranges::any_of(work.servers, [&](const auto* server) {
+                          return usable(server) && needed_kv(message) <= server->kv_capacity();
+                      });
+    return fits ? std::nullopt : std::optional(bounce_reason::no_headroom);
+}
+
+// Makes room in a full queue: the work that can wait longest of the account
+// that exceeds its share most is bounced, which may be the new one.
+void owner_side::state::shed(service_work& work, context& ctx) {
+    std::size_t places = 0;
+    std::size_t waiting = 0;
+    for (const server_state* server : work.servers)
+        places += static_cast<std::size_t>(server->window());
+    for (const work_queue& queue : work.queues)
+        waiting += queue.size();
+    if (waiting <= std::max(least_queue_length, queued_per_slot * places))
+        return;
+    // Long work can wait rather than short work.
+    for (const lane from : {lane_long, lane_medium, lane_short, lane_suspect}) {
+        const queued_work* victim = work.queues[from].most_sheddable();
+        if (victim == nullptr)
+            continue;
+        bounce_record(*attempts.find(victim->attempt), bounce_reason::no_headroom, ctx);
+        return;
+    }
+}
+
+void owner_side::on_submit(const daemon_id& from, const submit& message, context& ctx) {
+    state& owner = *m_state;
+    if (attempt_record* known = owner.attempts.find(message.attempt)) {
+        if (known->phase == attempt_phase::ended)
+            ctx.members.send(from, *known->end, ctx.out);
+        else
+            ctx.members.send(from, submit_accepted{message.attempt, known->server, owner.summarize(ctx)}, ctx.out);
+        return;
+    }
+    if (const auto reason = owner.find_bounce_reason(message, ctx)) {
+        owner.attempts.bury(message.attempt, ctx.now);
+        ctx.members.send(from, submit_bounced{message.attempt, *reason, owner.summarize(ctx)}, ctx.out);
+        return;
+    }
+    if (message.run_alone)
+        owner.strikes.note_suspect(message.fingerprint, ctx.now);
+    attempt_record& record = owner.attempts.insert(from, message, ctx.now);
+    state::service_work& work = owner.work_of(message.service, ctx);
+    owner.enqueue(record, ctx);
+    owner.pump(work, ctx);
+    owner.shed(work, ctx);
+    // Shedding may have bounced this attempt, which was then its answer.
+    attempt_record* kept = owner.attempts.find(message.attempt);
+    if (kept == nullptr || kept->phase == attempt_phase::ended)
+        return;
+    if (kept->phase == attempt_phase::queued) {
+        const state::lane in = owner.lane_of(*kept, ctx.now);
+        if (owner.predict_wait(work, in, ctx.now) >= message.time_left) {
+            owner.bounce_record(*kept, bounce_reason::no_headroom, ctx);
+            return;
+        }
+    }
+    ctx.members.send(from, submit_accepted{message.attempt, kept->server, owner.summarize(ctx)}, ctx.out);
+}
+
+void owner_side::on_cancel(const daemon_id& /*from*/, const cancel_attempt& message, context& ctx) {
+    attempt_record* record = m_state->attempts.find(message.attempt);
+    if (record == nullptr) {
+        // The submit may still be under way.
+        m_state->attempts.bury(message.attempt, ctx.now);
+        return;
+    }
+    const service_name service = record->request.service;
+    m_state->cancel(*record, attempt_failure::canceled, "canceled by the caller side", ctx);
+    m_state->pump(m_state->work_of(service, ctx), ctx);
+}
+
+void owner_side::on_query(const daemon_id& from, const attempt_query& message, context& ctx) {
+    const attempt_record* record = m_state->attempts.find(message.attempt);
+    if (record == nullptr) {
+        m_state->attempts.bury(message.attempt, ctx.now);
+        ctx.members.send(from, attempt_status{message.attempt, attempt_state::unknown}, ctx.out);
+        return;
+    }
+    const std::uint64_t base = record->request.generated.size();
+    const std::uint64_t have = std::max(base, message.have_tokens);
+    const bool missing = have < record->next_index();
+    if (missing) {
+        const auto first = record->tokens.begin() + static_cast<std::ptrdiff_t>(have - base);
+        ctx.members.send(from, attempt_tokens{message.attempt, have, {first, record->tokens.end()}}, ctx.out);
+    }
+    if (record->phase == attempt_phase::ended) {
+        ctx.members.send(from, *record->end, ctx.out);
+        return;
+    }
+    if (missing)
+        return;
+    const bool running = record->phase == attempt_phase::running;
+    ctx.members.send(from, attempt_status{message.attempt, running ? attempt_state::running : attempt_state::queued},
+                     ctx.out);
+}
+
+// ---- time
+
+void owner_side::state::poll_servers(context& ctx) {
+    for (auto& [name, work] : services)
+        for (server_state* server : work.servers) {
+            const server_name& polled = server->server().name;
+            const endpoint& address = server->server().address;
+            if (server->take_due_poll(ctx.now))
+                ctx.out.push_back(poll_load{polled, address});
+            if (server->take_due_listing(ctx.now))
+                ctx.out.push_back(list_streams{polled, address});
+        }
+}
+
+void owner_side::state::end_overdue(context& ctx) {
+    for (const attempt_id& attempt : attempts.find_overdue(ctx.now))
+        cancel(*attempts.find(attempt), attempt_failure::deadline_passed, "the deadline has passed", ctx);
+}
+
+void owner_side::state::cancel_of_dead_callers(context& ctx) {
+    for (const attempt_id& attempt : attempts.list_live()) {
+        const daemon_id& origin = attempt.request.origin;
+        if (origin != self && ctx.members.is_dead_for(origin, duration::zero(), ctx.now))
+            cancel(*attempts.find(attempt), attempt_failure::canceled, "the caller side is dead", ctx);
+    }
+}
+
+void owner_side::state::scan_attempts(context& ctx) {
+    for (const attempt_id& attempt : attempts.list_live()) {
+        attempt_record* record = attempts.find(attempt);
+        // An earlier attempt of this loop may have shown that the server died.
+        if (record == nullptr || record->phase != attempt_phase::running || record->request.kind == call_kind::plain)
+            continue;
+        if (record->lost_since && ctx.now - *record->lost_since >= lost_stream_limit) {
+            fail_running(*record, strikes.strikes(record->request.fingerprint, ctx.now), ctx);
+            continue;
+        }
+        if (!record->lost_since && ctx.now - record->last_heard >= silence_limit)
+            connection_lost(*record, ctx);
+    }
+}
+
+void owner_side::on_tick(context& ctx) {
+    state& owner = *m_state;
+    owner.end_overdue(ctx);
+    if (ctx.now >= owner.next_scan) {
+        owner.next_scan = ctx.now + scan_interval;
+        owner.cancel_of_dead_callers(ctx);
+        owner.scan_attempts(ctx);
+        owner.attempts.expire(ctx.now);
+        owner.expire_parts(ctx);
+        owner.drop_idle_lost_servers();
+        if (!ctx.config_confirmed)
+            owner.bounce_queued(bounce_reason::configuration_unconfirmed, ctx);
+    }
+    owner.pump_all(ctx);
+    owner.poll_servers(ctx);
+}
+
+void owner_side::begin_drain(context& ctx) {
+    m_state->draining = true;
+    m_state->bounce_queued(bounce_reason::draining, ctx);
+}
+
+std::optional<time_point> owner_side::next_wakeup() const {
+    const state& owner = *m_state;
+    std::optional<time_point> next = owner.attempts.next_deadline();
+    const auto take = [&next](time_point due) { next = next ? std::min(*next, due) : due; };
+    if (owner.attempts.live() > 0 || !owner.parts.empty())
+        take(owner.next_scan);
+    for (const auto& [name, work] : owner.services)
+        for (const server_state* server : work.servers)
+            take(server->next_due());
+    return next;
+}
+
+owner_summary owner_side::make_summary(const context& ctx) {
+    return m_state->summarize(ctx);
+}
+
+std::size_t owner_side::running() const {
+    return m_state->attempts.live() - m_state->queued_count;
+}
+
+std::size_t owner_side::queued() const {
+    return m_state->queued_count;
+}
+
+std::size_t owner_side::owned() const {
+    std::size_t servers = 0;
+    for (const auto& [name, work] : m_state->services)
+        servers += work.servers.size();
+    return servers;
+}
+
+crash_evidence& owner_side::evidence() {
+    return m_state->strikes;
+}
+
+}  // namespace verbenahold
--- /dev/null
+++ b/src/core/owner_state.hpp
@@ -0,0 +1,152 @@
+// The data behind owner_side and the steps that its handlers share. Handlers
+// of caller-side messages are in owner_side.cpp, of backend events in
+// owner_events.cpp, of memory parts in owner_parts.cpp; owner_state.cpp holds
+// dispatch and the end of attempts.
+#pragma once
+
+#include "attempt_record.hpp"
+#include "memory_sweep.hpp"
+#include "owner_side.hpp"
+#include "server_choice.hpp"
+#include "server_state.hpp"
+#include "work_queue.hpp"
+
+#include <array>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace verbenahold {
+
+class owner_side::state {
+public:
+    // Queues of one service. Suspects wait apart, because each needs a server
+    // to itself.
+    enum lane : std::uint8_t { lane_short, lane_medium, lane_long, lane_suspect, lane_count };
+
+    struct service_work {
+        service_name name;
+        std::array<work_queue, lane_count> queues;
+        std::vector<server_state*> servers;
+        placement_policy policy = placement_policy::headroom;
+        server_choice choice;
+        std::optional<time_point> last_short;
+        // True when the last dispatch was aged work: short work goes next.
+        bool aged_went_last = false;
+        // Moving average of the time from start to end, in seconds.
+        double run_seconds = 1;
+        // Answers whose token gaps the cost model has learned.
+        int gaps_learned = 0;
+    };
+
+    // KV memory on an owned server for a very long prompt.
+    struct held_part {
+        reserve_part request;
+        daemon_id from;
+        time_point expires{};
+        bool granted = false;
+        bool confirmed = false;
+        // Set when this owner itself asked, to replace a lost part of the
+        // group that the attempt leads.
+        std::optional<server_name> replaces;
+    };
+
+    state(entry_settings given_settings, std::uint64_t given_seed);
+
+    // ---- servers (owner_state.cpp)
+    service_work& work_of(const service_name& service, const context& ctx);
+    server_state* find_server(const server_name& server);
+    void list_servers();
+    void drop_idle_lost_servers();
+    // The server is gone with all that ran there.
+    void server_died(server_state& server, context& ctx);
+    // Strikes the fingerprints of these attempts and fails them.
+    void attempts_died(std::vector<attempt_record*> lost, context& ctx);
+    void fail_running(attempt_record& record, std::uint8_t strikes, context& ctx);
+
+    // ---- queueing and dispatch (owner_state.cpp)
+    void enqueue(attempt_record& record, context& ctx);
+    bool unqueue(const attempt_record& record, context& ctx);
+    void pump(service_work& work, context& ctx);
+    void pump_all(context& ctx);
+    bool pump_fair(service_work& work, context& ctx);
+    bool try_lane(service_work& work, lane from, bool aged, context& ctx);
+    bool pump_plain(service_work& work, context& ctx);
+    bool pump_suspects(service_work& work, context& ctx);
+    bool fail_if_infeasible(attempt_record& record, service_work& work, context& ctx);
+    void dispatch(attempt_record& record, server_state& server, service_work& work, context& ctx);
+    void return_to_queue(attempt_record& record, context& ctx);
+    void list_before_dispatch(service_work& work, context& ctx);
+    std::optional<bounce_reason> find_bounce_reason(const submit& message, context& ctx);
+    void shed(service_work& work, context& ctx);
+    void bounce_queued(bounce_reason reason, context& ctx);
+    void bounce_record(attempt_record& record, bounce_reason reason, context& ctx);
+    [[nodiscard]] lane lane_of(const attempt_record& record, time_point now) const;
+    [[nodiscard]] bool short_present(const service_work& work, time_point now) const;
+    [[nodiscard]] bool is_feasible(const submit& request, duration time_left) const;
+    [[nodiscard]] duration predict_run(const submit& request) const;
+    [[nodiscard]] duration predict_wait(const service_work& work, lane in, time_point now) const;
+    [[nodiscard]] bool is_server_in(const server_state& server, const context& ctx) const;
+
+    // ---- ends (owner_state.cpp)
+    // Frees what the attempt holds on its server.
+    void leave_server(attempt_record& record, context& ctx);
+    void finish(attempt_record& record, peer_message message, context& ctx);
+    void fail(attempt_record& record, attempt_failure reason, ran_state ran, std::string message, context& ctx);
+    void cancel_on_server(const attempt_record& record, context& ctx);
+    void cancel(attempt_record& record, attempt_failure reason, std::string message, context& ctx);
+
+    // ---- backend events (owner_events.cpp)
+    void reopen(attempt_record& record, context& ctx);
+    void connection_lost(attempt_record& record, context& ctx);
+    void stream_refused(attempt_record& record, backend_failure failure, context& ctx);
+    void check_streams(server_state& server, const stream_listing& event, bool restarted, context& ctx);
+    void sweep(const server_state& server, const stream_listing& event, context& ctx);
+    void send_listing_request(server_state& server, context& ctx);
+    attempt_record* find_running(const server_name& server, std::string_view stream);
+    attempt_record* find_call(const server_name& server, const attempt_id& attempt);
+    void add_tokens(attempt_record& record, const stream_tokens& event, context& ctx);
+    void note_gap(attempt_record& record, std::size_t new_tokens, context& ctx);
+
+    // ---- parts (owner_parts.cpp)
+    void release_held(const std::string& reservation, context& ctx);
+    void part_server_died(const server_name& server, context& ctx);
+    void replace_lost_part(attempt_record& record, const memory_part& lost, context& ctx);
+    void replacement_answered(const memory_reserved& event, context& ctx);
+    void release_replacements(const attempt_record& record, context& ctx);
+    void expire_parts(context& ctx);
+
+    // ---- time (owner_side.cpp)
+    void poll_servers(context& ctx);
+    void scan_attempts(context& ctx);
+    void end_overdue(context& ctx);
+    void cancel_of_dead_callers(context& ctx);
+
+    owner_summary summarize(const context& ctx);
+
+    daemon_id self;
+    std::string own_suffix;
+    std::uint64_t seed;
+    bool draining = false;
+    std::uint64_t summary_sequence = 0;
+    std::size_t queued_count = 0;
+    time_point next_scan{};
+
+    std::unordered_map<server_name, std::unique_ptr<server_state>> servers;
+    // By name, because decisions must not depend on the order of a hash map.
+    std::map<std::string, service_work> services;
+    attempt_table attempts;
+    std::map<std::string, held_part> parts;
+    // Replacement parts asked for so far; makes their names unique.
+    std::uint64_t replacements = 0;
+    std::unordered_map<server_name, memory_sweep> sweeps;
+    // Plain calls whose connection ended, by server: they get a strike when the
+    // server turns out to have restarted.
+    std::unordered_map<server_name, std::vector<std::pair<time_point, std::uint64_t>>> recent_resets;
+    crash_evidence strikes;
+    cost_model costs;
+};
+
+}  // namespace verbenahold
--- /dev/null
+++ b/src/core/server_choice.cpp
@@ -0,0 +1,124 @@
+#include "server_choice.hpp"
+
+#include <algorithm>
+#include <vector>
+
+namespace verbenahold {
+
+namespace {
+
+// A full server counts like this much more prefill work than an empty one,
+// because each running answer slows the others.
+constexpr double full_server_tokens = 4'096;
+// What a long prefill on the server adds to the wait of a short prompt: one
+// chunk of the engine.
+constexpr double long_prefill_tokens = 2'048;
+
+bool fits_long_share(const server_state& server, const server_query& query) {
+    if (!query.short_present)
+        return true;
+    if (server.long_prefill() > 0)
+        return false;
+    const int long_slots = std::max(1, static_cast<int>(query.long_share * server.window()));
+    if (server.long_running() >= long_slots)
+        return false;
+    const double share = query.long_share * static_cast<double>(server.kv_capacity());
+    const auto held = static_cast<double>(server.long_kv() + needed_kv(query.request));
+    // A request above the share would never run beside short work, so it may
+    // once it has aged, as the only long one.
+    return held <= share || (query.aged && server.long_running() == 0);
+}
+
+double wait_score(const server_state& server, const server_query& query) {
+    const submit& request = query.request;
+    const bool is_long = request.length >= length_class::long_prompt;
+    const std::int64_t backlog = server.prefill_backlog() - (is_long ? 0 : server.long_prefill());
+    double score = static_cast<double>(backlog + prefill_needed(request, server.server().name));
+    score += full_server_tokens * server.in_flight() / std::max(1, server.window());
+    if (server.long_prefill() > 0)
+        score += long_prefill_tokens;
+    // Long work goes where it has to share with the least other long work.
+    if (is_long)
+        score += static_cast<double>(server.long_kv());
+    return score;
+}
+
+}  // namespace
+
+bool can_carry(const server_state& server, const server_query& query) {
+    if (server.free_slots(query.now) <= 0 || server.must_list_first(query.now))
+        return false;
+    return query.request.kind == call_kind::plain || server.free_kv() >= needed_kv(query.request);
+}
+
+bool can_take(const server_state& server, const server_query& query) {
+    if (!can_carry(server, query))
+        return false;
+    if (query.request.kind == call_kind::plain)
+        return true;
+    if (query.request.length >= length_class::long_prompt)
+        return fits_long_share(server, query);
+    // The engine runs short and medium prompts before long ones, so only their
+    // own backlog counts.
+    const std::int64_t backlog = server.prefill_backlog() - server.long_prefill();
+    const std::int64_t prefill = prefill_needed(query.request, server.server().name);
+    return backlog == 0 || backlog + prefill <= prefill_budget_tokens;
+}
+
+server_state* headroom_choice::operator()(std::span<server_state* const> servers, const server_query& query) const {
+    server_state* best = nullptr;
+    double best_score = 0;
+    for (server_state* server : servers) {
+        if (!can_take(*server, query))
+            continue;
+        const double score = wait_score(*server, query);
+        if (best == nullptr || score < best_score) {
+            best = server;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+server_state* least_outstanding_choice::operator()(std::span<server_state* const> servers,
+                                                   const server_query& query) const {
+    server_state* best = nullptr;
+    for (server_state* server : servers)
+        if (can_carry(*server, query) && (best == nullptr || server->in_flight() < best->in_flight()))
+            best = server;
+    return best;
+}
+
+server_state* round_robin_choice::operator()(std::span<server_state* const> servers, const server_query& query) {
+    for (std::size_t step = 0; step < servers.size(); ++step) {
+        server_state* server = servers[m_next++ % servers.size()];
+        if (can_carry(*server, query))
+            return server;
+    }
+    return nullptr;
+}
+
+server_state* random_choice::operator()(std::span<server_state* const> servers, const server_query& query) {
+    std::vector<server_state*> able;
+    std::ranges::copy_if(servers, std::back_inserter(able),
+                         [&query](const server_state* server) { return can_carry(*server, query); });
+    if (able.empty())
+        return nullptr;
+    return able[std::uniform_int_distribution<std::size_t>(0, able.size() - 1)(m_random)];
+}
+
+server_choice make_server_choice(placement_policy policy, std::uint64_t seed) {
+    switch (policy) {
+        case placement_policy::least_outstanding:
+            return least_outstanding_choice{};
+        case placement_policy::round_robin:
+            return round_robin_choice{};
+        case placement_policy::random:
+            return random_choice(seed);
+        case placement_policy::headroom:
+            break;
+    }
+    return headroom_choice{};
+}
+
+}  // namespace verbenahold
--- /dev/null
+++ b/src/core/server_state.cpp
@@ -0,0 +1,302 @@
+#include "server_state.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace verbenahold {
+
+namespace {
+
+// Weight of the newest token gap in the moving average.
+constexpr double gap_weight = 0.2;
+// Gaps needed before the average says anything.
+constexpr int gap_samples_needed = 8;
+// A server slower than a third of the predicted speed is taken as cold.
+constexpr double cold_slowdown = 3;
+// A server that stays slow is reset at most this often.
+constexpr duration slow_reset_interval = std::chrono::seconds(2);
+
+bool is_long(const attempt_record& record) {
+    return record.request.length >= length_class::long_prompt;
+}
+
+}  // namespace
+
+std::int64_t needed_kv(const submit& request) {
+    const auto earlier_tokens = static_cast<std::int64_t>(request.generated.size());
+    std::int64_t tokens = request.prompt_tokens + std::max(request.predicted_output_tokens, earlier_tokens);
+    for (const memory_part& part : request.parts)
+        tokens -= part.tokens;
+    return std::max<std::int64_t>(0, tokens);
+}
+
+std::int64_t prefill_needed(const submit& request, const server_name& server) {
+    return request.preferred_server == server ? request.uncached_tokens : request.prompt_tokens;
+}
+
+server_state::server_state(backend_server server, bool released, time_point now) : m_server(std::move(server)) {
+    m_window.reset();
+    set_owned(released, now);
+}
+
+void server_state::configure(const service_spec& spec) {
+    m_model = spec.type == service_type::model;
+    const bool first = m_kv_capacity == 0;
+    m_window.configure(spec.cold_capacity, spec.warm_capacity);
+    if (!first)
+        return;
+    m_kv_capacity = spec.kv_capacity_tokens;
+    m_window.reset();
+}
+
+void server_state::set_owned(bool released, time_point now) {
+    m_owned = true;
+    m_window.reset();
+    m_ready_at = released ? now : now + handover_wait;
+    m_foreign_known = false;
+    m_next_poll = now;
+    m_next_listing = now;
+}
+
+void server_state::end_handover(time_point now) {
+    m_ready_at = std::min(m_ready_at, now);
+}
+
+void server_state::start(attempt_record& record, time_point now) {
+    const submit& request = record.request;
+    const auto earlier_tokens = static_cast<std::int64_t>(request.generated.size());
+    record.started = now;
+    record.last_heard = now;
+    record.window_epoch = m_window.epoch();
+    record.kv_tokens = needed_kv(request);
+    record.prefill_tokens = prefill_needed(request, m_server.name) + earlier_tokens;
+    m_running.insert(&record);
+    m_own_kv += record.kv_tokens;
+    m_prefill_backlog += record.prefill_tokens;
+    if (is_long(record)) {
+        m_long_prefill += record.prefill_tokens;
+        m_long_kv += record.kv_tokens;
+        ++m_long_running;
+    }
+    if (request.length == length_class::short_prompt)
+        ++m_short_running;
+    record.carried_at_start = in_flight();
+    m_clear_listing_at.reset();
+    note_own_count(now);
+}
+
+void server_state::end_prefill(attempt_record& record) {
+    m_prefill_backlog -= record.prefill_tokens;
+    if (is_long(record))
+        m_long_prefill -= record.prefill_tokens;
+    record.prefill_tokens = 0;
+}
+
+void server_state::end(attempt_record& record, time_point now) {
+    if (!m_running.contains(&record))
+        return;
+    note_own_count(now);
+    m_running.erase(&record);
+    end_prefill(record);
+    m_own_kv -= record.kv_tokens;
+    if (is_long(record)) {
+        m_long_kv -= record.kv_tokens;
+        --m_long_running;
+    }
+    if (record.request.length == length_class::short_prompt)
+        --m_short_running;
+    record.kv_tokens = 0;
+}
+
+void server_state::note_completed(const attempt_record& record) {
+    m_window.on_completed(record.window_epoch, std::max(record.carried_at_start, in_flight()));
+}
+
+bool server_state::on_report(const load_report& report, time_point now) {
+    bool changed = false;
+    note_incarnation(report.incarnation, changed, now);
+    if (!m_model_version.empty() && report.model_version != m_model_version) {
+        m_window.reset();
+        changed = true;
+    }
+    m_model_version = report.model_version;
+    if (report.kv_capacity_tokens > 0)
+        m_kv_capacity = report.kv_capacity_tokens;
+    m_reported_foreign = std::max(0, report.running + report.queued - recent_own_peak(now));
+    m_failed_polls = 0;
+    if (m_dead)
+        want_listing(now);
+    m_dead = false;
+    m_foreign_known = m_foreign_known || !m_model;
+    m_next_poll = now + load_poll_interval;
+    return changed;
+}
+
+bool server_state::on_listing(const stream_listing& listing, std::string_view own_suffix, time_point now) {
+    bool changed = false;
+    note_incarnation(listing.incarnation, changed, now);
+    m_listed_foreign = 0;
+    m_listed_foreign_kv = 0;
+    for (const listed_stream& stream : listing.streams) {
+        if (std::string_view(stream.stream).ends_with(own_suffix))
+            continue;
+        ++m_listed_foreign;
+        m_listed_foreign_kv += stream.kv_tokens;
+    }
+    for (const listed_reservation& reservation : listing.reservations)
+        if (!m_parts.contains(reservation.reservation))
+            m_listed_foreign_kv += reservation.tokens;
+    m_clear_listing_at.reset();
+    if (m_listed_foreign == 0)
+        m_clear_listing_at = now;
+    m_unexplained_kv = 0;
+    m_listed_at = now;
+    m_listing_wanted = false;
+    m_listing_outstanding = false;
+    m_foreign_known = true;
+    m_next_listing = now + (m_listed_foreign > 0 ? foreign_listing_interval : listing_interval);
+    return changed;
+}
+
+void server_state::on_poll_failed(time_point now) {
+    ++m_failed_polls;
+    m_next_poll = now + load_poll_interval;
+    // The event does not tell which of both failed: both are made again.
+    if (m_listing_outstanding)
+        m_next_listing = now + load_poll_interval;
+    m_listing_outstanding = false;
+}
+
+void server_state::on_refused_work(time_point now) {
+    m_window.reset();
+    m_ready_at = std::max(m_ready_at, now + refusal_pause);
+    want_listing(now);
+}
+
+void server_state::on_out_of_memory(time_point now) {
+    // Nothing more fits until a listing has shown what is there.
+    m_unexplained_kv = std::max<std::int64_t>(0, free_kv());
+    m_ready_at = std::max(m_ready_at, now + refusal_pause);
+    want_listing(now);
+}
+
+void server_state::on_death(time_point now) {
+    m_dead = true;
+    m_window.reset();
+    m_listed_foreign = 0;
+    m_listed_foreign_kv = 0;
+    m_reported_foreign = 0;
+    m_foreign_known = false;
+    m_unexplained_kv = 0;
+    m_gap_samples = 0;
+    m_clear_listing_at.reset();
+    m_ready_at = std::max(m_ready_at, now + death_pause);
+    m_next_poll = std::min(m_next_poll, now + load_poll_interval);
+}
+
+bool server_state::on_token_gap(duration gap, duration predicted, time_point now) {
+    const double seconds = std::chrono::duration<double>(gap).count();
+    m_gap_seconds = m_gap_samples == 0 ? seconds : m_gap_seconds + gap_weight * (seconds - m_gap_seconds);
+    ++m_gap_samples;
+    const double limit = cold_slowdown * std::chrono::duration<double>(predicted).count();
+    if (m_gap_samples < gap_samples_needed || limit <= 0 || m_gap_seconds < limit || now < m_gap_reset_at)
+        return false;
+    m_window.reset();
+    m_gap_samples = 0;
+    m_gap_reset_at = now + slow_reset_interval;
+    return true;
+}
+
+bool server_state::take_due_poll(time_point now) {
+    if (now < m_next_poll)
+        return false;
+    m_next_poll = now + poll_answer_limit;
+    return true;
+}
+
+bool server_state::take_due_listing(time_point now) {
+    if (!m_model || now < m_next_listing)
+        return false;
+    m_next_listing = now + poll_answer_limit;
+    m_listing_outstanding = true;
+    m_listing_asked_at = now;
+    return true;
+}
+
+void server_state::want_listing(time_point now) {
+    if (m_listing_wanted || m_listing_outstanding)
+        return;
+    m_listing_wanted = true;
+    m_next_listing = m_listed_foreign > 0 ? std::max(now, m_listed_at + blocked_listing_interval) : now;
+}
+
+time_point server_state::next_due() const {
+    return m_model ? std::min(m_next_poll, m_next_listing) : m_next_poll;
+}
+
+bool server_state::is_usable(time_point now) const {
+    return m_owned && !m_server.leaving && !m_dead && m_failed_polls < failed_polls_limit && m_foreign_known &&
+           now >= m_ready_at;
+}
+
+bool server_state::must_list_first(time_point now) const {
+    if (!m_window.must_list_first())
+        return false;
+    if (!m_model)
+        return m_reported_foreign > 0;
+    return !m_clear_listing_at || now > *m_clear_listing_at + clear_listing_time;
+}
+
+int server_state::in_flight() const {
+    return static_cast<int>(m_running.size()) + foreign();
+}
+
+int server_state::foreign() const {
+    return std::max(m_listed_foreign, m_reported_foreign);
+}
+
+int server_state::free_slots(time_point now) const {
+    if (!is_usable(now) || isolated)
+        return 0;
+    return std::max(0, m_window.window() - in_flight());
+}
+
+std::int64_t server_state::free_kv() const {
+    std::int64_t free = m_kv_capacity - m_own_kv - m_listed_foreign_kv - m_unexplained_kv;
+    for (const auto& [reservation, tokens] : m_parts)
+        free -= tokens;
+    return free;
+}
+
+void server_state::note_incarnation(std::uint64_t incarnation, bool& changed, time_point now) {
+    changed = m_incarnation != 0 && incarnation != m_incarnation;
+    m_incarnation = incarnation;
+    if (!changed)
+        return;
+    m_window.reset();
+    m_gap_samples = 0;
+    m_listed_foreign = 0;
+    m_listed_foreign_kv = 0;
+    m_reported_foreign = 0;
+    m_foreign_known = !m_model;
+    want_listing(now);
+}
+
+int server_state::recent_own_peak(time_point now) const {
+    const bool stale = now - m_peak_period_start > 2 * report_lag_limit;
+    const int running = static_cast<int>(m_running.size());
+    return stale ? running : std::max({running, m_own_peak, m_previous_own_peak});
+}
+
+void server_state::note_own_count(time_point now) {
+    const int running = static_cast<int>(m_running.size());
+    if (now - m_peak_period_start > report_lag_limit) {
+        m_previous_own_peak = m_own_peak;
+        m_own_peak = 0;
+        m_peak_period_start = now;
+    }
+    m_own_peak = std::max(m_own_peak, running);
+}
+
+}  // namespace verbenahold
--- /dev/null
+++ b/test/correctness/core_owner_stream.cpp
@@ -0,0 +1,42 @@
+// Guards the plain path of one request: an answer that is cut, reordered or
+// summed wrongly would be declared broken by the caller side.
+#include "answer_checksum.hpp"
+#include "owner_bench.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <iostream>
+
+using namespace verbenahold;
+
+TEST_CASE("owner streams an answer and ends it with count and checksum") {
+    owner_bench bench;
+    bench.add_server("s1");
+    submit message = bench.make_submit();
+    message.generated = {"a", "b"};
+    bench.send(message);
+    REQUIRE(bench.server_of(message) == "s1");
+    CHECK(bench.answers<submit_accepted>(message).size() == 1);
+    CHECK(bench.owner.running() == 1);
+
+    const std::string stream = bench.stream_of(message);
+    bench.feed(stream_opened{server_name("s1"), stream});
+    bench.feed(stream_tokens{server_name("s1"), stream, 2, {"c", "d"}});
+    // A reopened stream repeats tokens.
+    bench.feed(stream_tokens{server_name("s1"), stream, 3, {"d", "e"}});
+    bench.feed(stream_finished{server_name("s1"), stream, 5, 0, "stop"});
+
+    const auto parts = bench.answers<attempt_tokens>(message);
+    REQUIRE(parts.size() == 2);
+    CHECK(parts[1].first_index == 4);
+    CHECK(parts[1].tokens == std::vector<std::string>{"e"});
+    const auto ends = bench.answers<attempt_finished>(message);
+    REQUIRE(ends.size() == 1);
+    answer_checksum expected;
+    for (const char* token : {"a", "b", "c", "d", "e"})
+        expected.add(token);
+    CHECK(ends[0].token_count == 5);
+    CHECK(ends[0].checksum == expected.value());
+    CHECK(bench.owner.running() == 0);
+    std::cout << "owner streams one answer: passed\n";
+}
