--- /dev/null
+++ b/src/programs/fault_proxy.cpp
@@ -0,0 +1,41 @@
+// TCP proxy with network faults on request, for tests and experiments.
+#include "fault_proxy.hpp"
+#include "program_start.hpp"
+
+#include <QCoreApplication>
+#include <QJsonDocument>
+
+#include <cstdlib>
+#include <iostream>
+#include <string>
+#include <vector>
+
+int main(int argc, char* argv[]) {
+    namespace po = boost::program_options;
+    using namespace verbenahold;
+    const QCoreApplication application(argc, argv);
+    std::vector<std::string> pairs;
+    std::string address;
+    po::options_description options("fault-proxy");
+    options.add_options()("pair", po::value(&pairs)->composing(), "NAME=ADDRESS:PORT of a target; may be repeated");
+    standins::read_options(argc, argv, "fault-proxy", options, address);
+
+    timer_service timers;
+    standins::fault_proxy proxy(timers);
+    // One line for each proxy, before the line of the admin interface.
+    for (const std::string& pair : pairs) {
+        const std::size_t separator = pair.find('=');
+        const auto added = separator == std::string::npos
+                               ? std::nullopt
+                               : proxy.add(pair.substr(0, separator), pair.substr(separator + 1));
+        if (!added) {
+            std::cerr << "fault-proxy: bad pair " << pair << '\n';
+            return EXIT_FAILURE;
+        }
+        std::cout << QJsonDocument(*added).toJson(QJsonDocument::Compact).toStdString() << '\n';
+    }
+    standins::http_listener listener(
+        [&](const standins::http_call& call, const standins::shared_reply& reply) { proxy.handle(call, reply); });
+    standins::announce(listener, address);
+    return QCoreApplication::exec();
+}
