Serve the stand-ins by the HTTP server of src/io

Two HTTP servers in one repository would drift apart. standin_server adds one handler for all paths and short forms for JSON to http_server; http_listener is removed. A failed write can end a reader at once there, so the engine's loops over readers go by id.

--- a/src/programs/fake_engine.cpp
+++ b/src/programs/fake_engine.cpp
@@ -61,8 +61,8 @@
 
     timer_service timers;
     standins::fake_engine engine(settings, timers);
-    standins::http_listener listener(
-        [&](const standins::http_call& call, const standins::shared_reply& reply) { engine.handle(call, reply); });
-    standins::announce(listener, address);
+    standins::standin_server server(
+        [&](const standins::http_call& call, const shared_reply& reply) { engine.handle(call, reply); });
+    standins::announce(server, address);
     return QCoreApplication::exec();
 }
--- a/src/programs/fault_proxy.cpp
+++ b/src/programs/fault_proxy.cpp
@@ -34,8 +34,8 @@
         }
         std::cout << QJsonDocument(*added).toJson(QJsonDocument::Compact).toStdString() << '\n';
     }
-    standins::http_listener listener(
-        [&](const standins::http_call& call, const standins::shared_reply& reply) { proxy.handle(call, reply); });
-    standins::announce(listener, address);
+    standins::standin_server server(
+        [&](const standins::http_call& call, const shared_reply& reply) { proxy.handle(call, reply); });
+    standins::announce(server, address);
     return QCoreApplication::exec();
 }
--- a/src/standins/fake_engine.cpp
+++ b/src/standins/fake_engine.cpp
@@ -77,7 +77,7 @@
     if (area == QLatin1String("streams")) {
         handle_streams(call, reply);
     } else if (call.is("GET", "load")) {
-        reply->send_json(200, lagging_load());
+        send_json(reply, 200, lagging_load());
     } else if (call.is("GET", "cache_events")) {
         const auto after = call.query.queryItemValue("after").toULongLong();
         std::uint64_t next = after;
@@ -87,7 +87,7 @@
             events.append(
                 QJsonObject{{"prefix_hash", QString::number(change.prefix_hash, 16)}, {"stored", change.stored}});
         }
-        reply->send_json(200, {{"next", static_cast<qint64>(next)}, {"events", events}});
+        send_json(reply, 200, {{"next", static_cast<qint64>(next)}, {"events", events}});
     } else if (area == QLatin1String("reservations")) {
         handle_reservations(call, reply);
     } else if (area == QLatin1String("kv")) {
@@ -97,7 +97,7 @@
     } else if (area == QLatin1String("admin")) {
         handle_admin(call, reply);
     } else {
-        reply->send_error(404, "unknown_path");
+        send_error(reply, 404, "unknown_path");
     }
 }
 
@@ -107,7 +107,7 @@
     if (call.is("POST", "streams")) {
         start_stream(call, reply);
     } else if (call.is("GET", "streams")) {
-        reply->send_json(200, listing());
+        send_json(reply, 200, listing());
     } else if (call.is("GET", "streams/*")) {
         reopen_stream(call, reply);
     } else if (call.is("DELETE", "streams/*")) {
@@ -115,7 +115,7 @@
     } else if (call.is("PUT", "streams/*/parts")) {
         replace_part(call, reply);
     } else {
-        reply->send_error(404, "unknown_path");
+        send_error(reply, 404, "unknown_path");
     }
 }
 
@@ -123,7 +123,7 @@
     const std::optional<QJsonObject> body = call.json();
     const std::optional<stream_request> request = body ? parse_stream(*body) : std::nullopt;
     if (!request) {
-        reply->send_error(400, "bad_request");
+        send_error(reply, 400, "bad_request");
         return;
     }
     if (request->parts.empty()) {
@@ -132,7 +132,7 @@
     }
     m_groups.confirm(request->parts, [this, request = *request, reply](bool ok, std::int64_t) {
         if (!ok) {
-            reply->send_error(507, "out_of_memory");
+            send_error(reply, 507, "out_of_memory");
             return;
         }
         admit_stream(request, reply);
@@ -142,13 +142,13 @@
 void fake_engine::admit_stream(const stream_request& request, const shared_reply& reply) {
     switch (m_model.start(request, m_timers.now())) {
         case start_result::stream_exists:
-            reply->send_error(409, "stream_exists");
+            send_error(reply, 409, "stream_exists");
             return;
         case start_result::overloaded:
-            reply->send_error(429, "overloaded");
+            send_error(reply, 429, "overloaded");
             return;
         case start_result::out_of_memory:
-            reply->send_error(507, "out_of_memory");
+            send_error(reply, 507, "out_of_memory");
             return;
         case start_result::started:
             break;
@@ -180,9 +180,9 @@
     if (const auto earlier = m_readers.find(id); earlier != m_readers.end()) {
         const shared_reply replaced = earlier->second.reply;
         m_readers.erase(earlier);
-        replaced->drop();
+        replaced->abort();
     }
-    reply->begin_stream("text/event-stream");
+    reply->begin(200, "text/event-stream");
     m_readers[id] = {reply, from};
     reply->on_gone([this, id, raw = reply.get()] {
         const auto found = m_readers.find(id);
@@ -195,7 +195,7 @@
 void fake_engine::reopen_stream(const http_call& call, const shared_reply& reply) {
     const std::string id = call.segments[2].toStdString();
     if (m_model.find(id) == nullptr) {
-        reply->send_error(404, "unknown_stream");
+        send_error(reply, 404, "unknown_stream");
         return;
     }
     attach(id, reply, call.query.queryItemValue("from").toLongLong());
@@ -209,10 +209,10 @@
     if (const auto found = m_readers.find(id); found != m_readers.end()) {
         const shared_reply attached = found->second.reply;
         m_readers.erase(found);
-        attached->drop();
+        attached->abort();
     }
     remember_load();
-    reply->send_json(200, {});
+    send_json(reply, 200, {});
 }
 
 void fake_engine::replace_part(const http_call& call, const shared_reply& reply) {
@@ -221,70 +221,88 @@
     const std::string lost_url = strip_url(body["lost_url"].toString().toStdString());
     const group_part part = parse_part(body["part"].toObject());
     if (m_model.find(id) == nullptr) {
-        reply->send_error(404, "unknown_stream");
+        send_error(reply, 404, "unknown_stream");
         return;
     }
     m_groups.confirm({part}, [this, id, lost_url, part, reply](bool ok, std::int64_t imported) {
         if (!ok) {
-            reply->send_error(507, "out_of_memory");
+            send_error(reply, 507, "out_of_memory");
             return;
         }
         if (!m_model.replace_part(id, lost_url, part, imported)) {
-            reply->send_error(404, "unknown_part");
+            send_error(reply, 404, "unknown_part");
             return;
         }
         m_groups.watch(id, part);
         wake();
-        reply->send_json(200, {});
+        send_json(reply, 200, {});
     });
 }
 
-bool fake_engine::serve(const std::string& id, reader& to) {
-    const model_stream* stream = m_model.find(id);
-    if (stream == nullptr) {
-        return true;
-    }
-    if (to.next < stream->produced) {
+QByteArray fake_engine::take_events(const model_stream& stream, reader& to, bool& last) const {
+    QByteArray events;
+    if (to.next < stream.produced) {
         QJsonArray tokens;
-        for (std::int64_t i = to.next; i < stream->produced; ++i) {
-            tokens.append(QString::fromStdString(token_text(stream->prompt_hash, static_cast<std::uint64_t>(i))));
+        for (std::int64_t i = to.next; i < stream.produced; ++i) {
+            tokens.append(QString::fromStdString(token_text(stream.prompt_hash, static_cast<std::uint64_t>(i))));
         }
-        to.reply->write_chunk(event_of({{"first", static_cast<qint64>(to.next)}, {"tokens", tokens}}));
-        to.next = stream->produced;
+        events += event_of({{"first", static_cast<qint64>(to.next)}, {"tokens", tokens}});
+        to.next = stream.produced;
     }
-    if (stream->is_active()) {
-        return false;
+    last = !stream.is_active();
+    if (last) {
+        events += event_of({{"done", true},
+                            {"count", static_cast<qint64>(stream.produced)},
+                            {"cached", static_cast<qint64>(stream.cached_tokens)},
+                            {"finish", "stop"}});
     }
-    to.reply->write_chunk(event_of({{"done", true},
-                                    {"count", static_cast<qint64>(stream->produced)},
-                                    {"cached", static_cast<qint64>(stream->cached_tokens)},
-                                    {"finish", "stop"}}));
-    return true;
+    return events;
 }
 
 void fake_engine::serve_readers() {
-    std::vector<std::pair<std::string, shared_reply>> complete;
-    for (auto& [id, to] : m_readers) {
-        if (serve(id, to)) {
-            complete.emplace_back(id, to.reply);
+    // Writing may remove a reader whose connection ends, so the loop goes by
+    // id.
+    for (const std::string& id : reader_ids()) {
+        const auto found = m_readers.find(id);
+        if (found == m_readers.end()) {
+            continue;
         }
-    }
-    for (const auto& [id, reply] : complete) {
-        m_readers.erase(id);
-        m_groups.forget(id);
-        if (m_model.find(id) == nullptr) {
-            reply->drop();
+        const shared_reply reply = found->second.reply;
+        const model_stream* stream = m_model.find(id);
+        bool last = false;
+        const QByteArray events = stream == nullptr ? QByteArray() : take_events(*stream, found->second, last);
+        if (!events.isEmpty() && !reply->write(events)) {
             continue;
         }
-        m_model.mark_read(id);
-        reply->end_stream();
+        if (stream == nullptr || last) {
+            m_readers.erase(id);
+            m_groups.forget(id);
+        }
+        if (stream == nullptr) {
+            reply->abort();
+        } else if (last) {
+            m_model.mark_read(id);
+            reply->end();
+        }
     }
 }
 
 void fake_engine::send_heartbeats() {
+    for (const std::string& id : reader_ids()) {
+        if (const auto found = m_readers.find(id); found != m_readers.end()) {
+            const shared_reply reply = found->second.reply;
+            reply->write(": heartbeat\n\n");
+        }
+    }
+}
+
+std::vector<std::string> fake_engine::reader_ids() const {
+    std::vector<std::string> ids;
+    ids.reserve(m_readers.size());
     for (const auto& [id, to] : m_readers) {
-        to.reply->write_chunk(": heartbeat\n\n");
+        ids.push_back(id);
     }
+    return ids;
 }
 
 QJsonObject fake_engine::listing() const {
@@ -361,14 +379,14 @@
     if (call.is("DELETE", "reservations/*")) {
         m_model.release(call.segments[2].toStdString());
         remember_load();
-        reply->send_json(200, {});
+        send_json(reply, 200, {});
         return;
     }
     const QJsonObject body = call.json().value_or(QJsonObject());
     const std::string id = body["reservation"].toString().toStdString();
     const std::int64_t tokens = body["tokens"].toInteger();
     if (!call.is("POST", "reservations") || id.empty() || tokens <= 0) {
-        reply->send_error(400, "bad_request");
+        send_error(reply, 400, "bad_request");
         return;
     }
     // With "existing", a reservation that has expired is not made anew.
@@ -376,14 +394,15 @@
     m_model.advance(now);
     const bool missing = body["existing"].toBool() && !m_model.reservations().contains(id);
     if (missing || !m_model.reserve(id, tokens, milliseconds(body["expires_ms"].toInteger()), now)) {
-        reply->send_error(507, "out_of_memory");
+        send_error(reply, 507, "out_of_memory");
         return;
     }
     remember_load();
     const std::int64_t imported = m_model.reservations().at(id).imported;
-    reply->send_json(200, {{"reservation", QString::fromStdString(id)},
-                           {"tokens", static_cast<qint64>(tokens)},
-                           {"imported", static_cast<qint64>(imported)}});
+    send_json(reply, 200,
+              {{"reservation", QString::fromStdString(id)},
+               {"tokens", static_cast<qint64>(tokens)},
+               {"imported", static_cast<qint64>(imported)}});
 }
 
 void fake_engine::handle_kv(const http_call& call, const shared_reply& reply) {
@@ -396,21 +415,21 @@
         } else if (const auto found = m_model.reservations().find(id); found != m_model.reservations().end()) {
             tokens = found->second.tokens;
         } else {
-            reply->send_error(404, "unknown_stream");
+            send_error(reply, 404, "unknown_stream");
             return;
         }
-        reply->send_json(200, {{"stream", QString::fromStdString(id)}, {"kv", QString::number(tokens)}});
+        send_json(reply, 200, {{"stream", QString::fromStdString(id)}, {"kv", QString::number(tokens)}});
     } else if (call.is("POST", "kv/import")) {
         const std::int64_t tokens = body["kv"].toString().toLongLong();
         if (id.empty() || tokens <= 0) {
-            reply->send_error(400, "bad_request");
+            send_error(reply, 400, "bad_request");
         } else if (!m_model.import_cache(id, tokens, m_timers.now())) {
-            reply->send_error(507, "out_of_memory");
+            send_error(reply, 507, "out_of_memory");
         } else {
-            reply->send_json(200, {});
+            send_json(reply, 200, {});
         }
     } else {
-        reply->send_error(404, "unknown_path");
+        send_error(reply, 404, "unknown_path");
     }
 }
 
@@ -419,7 +438,7 @@
 void fake_engine::handle_orders(const http_call& call, const shared_reply& reply) {
     const std::optional<QJsonObject> body = call.json();
     if (!call.is("POST", "orders") || !body) {
-        reply->send_error(400, "bad_request");
+        send_error(reply, 400, "bad_request");
         return;
     }
     const std::int64_t fence = (*body)["fence"].toInteger();
@@ -427,7 +446,7 @@
     const bool stale = fence < m_highest_fence;
     m_stale_orders += stale ? 1 : 0;
     if (stale && m_settings.checks_fence) {
-        reply->send_error(409, "stale_fence");
+        send_error(reply, 409, "stale_fence");
         return;
     }
     m_highest_fence = std::max(m_highest_fence, fence);
@@ -439,20 +458,20 @@
     } else if (order == QLatin1String("set_role")) {
         m_role = (*body)["role"].toString();
     } else if (order != QLatin1String("load_adapter")) {
-        reply->send_error(400, "bad_request");
+        send_error(reply, 400, "bad_request");
         return;
     }
-    reply->send_json(200, {});
+    send_json(reply, 200, {});
 }
 
 void fake_engine::handle_admin(const http_call& call, const shared_reply& reply) {
     if (call.is("POST", "admin/faults")) {
-        reply->send_json(200, {});
+        send_json(reply, 200, {});
         set_faults(call.json().value_or(QJsonObject()));
     } else if (call.is("GET", "admin/stats")) {
-        reply->send_json(200, stats());
+        send_json(reply, 200, stats());
     } else {
-        reply->send_error(404, "unknown_path");
+        send_error(reply, 404, "unknown_path");
     }
 }
 
--- a/src/standins/fake_engine.hpp
+++ b/src/standins/fake_engine.hpp
@@ -4,7 +4,7 @@
 
 #include "engine_model.hpp"
 #include "group_watch.hpp"
-#include "http_listener.hpp"
+#include "standin_server.hpp"
 #include "timer_service.hpp"
 
 #include <QJsonObject>
@@ -15,6 +15,7 @@
 #include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace verbenahold::standins {
 
@@ -59,9 +60,10 @@
     void attach(const std::string& id, const shared_reply& reply, std::int64_t from);
     // Sends each reader what is new for it.
     void serve_readers();
-    // Whether nothing more will come: the answer is whole or the stream is
-    // gone.
-    bool serve(const std::string& id, reader& to);
+    // What is new for the reader, which has it after this; `last` tells whether
+    // nothing more will come.
+    QByteArray take_events(const model_stream& stream, reader& to, bool& last) const;
+    [[nodiscard]] std::vector<std::string> reader_ids() const;
     void send_heartbeats();
     void note_start(const std::string& id);
 
--- a/src/standins/fake_platform.cpp
+++ b/src/standins/fake_platform.cpp
@@ -40,7 +40,7 @@
     } else if (area == QLatin1String("admin")) {
         handle_admin(call, reply);
     } else {
-        reply->send_error(404, "unknown_path");
+        send_error(reply, 404, "unknown_path");
     }
 }
 
@@ -48,12 +48,12 @@
     const time_point now = m_timers.now();
     if (now < m_table_down_until) {
         ++m_refused_by_outage;
-        reply->send_error(503, "unavailable");
+        send_error(reply, 503, "unavailable");
         return false;
     }
     if (!(write ? m_writes : m_reads).take(1, now)) {
         ++m_refused_by_limit;
-        reply->send_error(429, "rate_limited");
+        send_error(reply, 429, "rate_limited");
         return false;
     }
     ++(write ? m_writes_done : m_reads_done);
@@ -72,10 +72,10 @@
     if (m_answers_to_lose > 0) {
         --m_answers_to_lose;
         ++m_answers_lost;
-        reply->drop();
+        reply->abort();
         return;
     }
-    reply->send_json(status, body);
+    send_json(reply, status, body);
 }
 
 void fake_platform::handle_table(const http_call& call, const shared_reply& reply) {
@@ -85,7 +85,7 @@
 void fake_platform::run_table(const http_call& call, const shared_reply& reply) {
     const std::optional<QJsonObject> body = call.json();
     if (!body) {
-        reply->send_error(400, "bad_request");
+        send_error(reply, 400, "bad_request");
         return;
     }
     const bool write = call.is("POST", "table/transact");
@@ -105,12 +105,12 @@
         }
         answer_write(reply, 409, {{"failed", failed}});
     } else if (call.is("POST", "table/read")) {
-        reply->send_json(200, m_table.read((*body)["keys"].toArray()));
+        send_json(reply, 200, m_table.read((*body)["keys"].toArray()));
     } else if (call.is("POST", "table/scan")) {
         const int limit = (*body)["limit"].toInt(default_scan_limit);
-        reply->send_json(200, m_table.scan((*body)["prefix"].toString(), (*body)["after"].toString(), limit));
+        send_json(reply, 200, m_table.scan((*body)["prefix"].toString(), (*body)["after"].toString(), limit));
     } else {
-        reply->send_error(404, "unknown_path");
+        send_error(reply, 404, "unknown_path");
     }
 }
 
@@ -121,7 +121,7 @@
 void fake_platform::run_object(const http_call& call, const shared_reply& reply) {
     const QString name = call.segments.mid(2).join('/');
     if (name.isEmpty()) {
-        reply->send_error(404, "unknown_path");
+        send_error(reply, 404, "unknown_path");
         return;
     }
     if (!admit(call.method != "GET", reply)) {
@@ -136,7 +136,7 @@
     } else if (const auto found = m_objects.find(name); found != m_objects.end()) {
         reply->send(200, "application/octet-stream", found->second);
     } else {
-        reply->send_error(404, "unknown_object");
+        send_error(reply, 404, "unknown_object");
     }
 }
 
@@ -160,10 +160,10 @@
     if (call.is("GET", "hosts")) {
         ++m_host_list_reads;
         if (m_timers.now() < m_hosts_down_until) {
-            reply->send_error(503, "unavailable");
+            send_error(reply, 503, "unavailable");
             return;
         }
-        reply->send_json(200, host_list());
+        send_json(reply, 200, host_list());
         return;
     }
     const QString name = call.segments.value(2);
@@ -174,35 +174,35 @@
     } else if (call.is("DELETE", "hosts/*")) {
         m_hosts.erase(name);
     } else {
-        reply->send_error(404, "unknown_path");
+        send_error(reply, 404, "unknown_path");
         return;
     }
     remember_hosts();
-    reply->send_json(200, {});
+    send_json(reply, 200, {});
 }
 
 void fake_platform::handle_weights(const http_call& call, const shared_reply& reply) {
     if (!call.is("GET", "weights/*/*")) {
-        reply->send_error(404, "unknown_path");
+        send_error(reply, 404, "unknown_path");
         return;
     }
     if (!m_weights.take(1, m_timers.now())) {
         ++m_weight_refusals;
-        reply->send_error(429, "rate_limited");
+        send_error(reply, 429, "rate_limited");
         return;
     }
     ++m_weight_loads;
-    reply->send_json(200, {{"model", call.segments[2]}, {"version", call.segments[3]}});
+    send_json(reply, 200, {{"model", call.segments[2]}, {"version", call.segments[3]}});
 }
 
 void fake_platform::handle_admin(const http_call& call, const shared_reply& reply) {
     if (call.is("POST", "admin/faults")) {
         set_faults(call.json().value_or(QJsonObject()));
-        reply->send_json(200, {});
+        send_json(reply, 200, {});
     } else if (call.is("GET", "admin/stats")) {
-        reply->send_json(200, stats());
+        send_json(reply, 200, stats());
     } else {
-        reply->send_error(404, "unknown_path");
+        send_error(reply, 404, "unknown_path");
     }
 }
 
--- a/src/standins/fake_platform.hpp
+++ b/src/standins/fake_platform.hpp
@@ -2,8 +2,8 @@
 // and weight store, with faults on request.
 #pragma once
 
-#include "http_listener.hpp"
 #include "rate_limit.hpp"
+#include "standin_server.hpp"
 #include "table_store.hpp"
 #include "timer_service.hpp"
 
--- a/src/standins/fake_service.cpp
+++ b/src/standins/fake_service.cpp
@@ -24,8 +24,8 @@
     if (call.segments.value(1) == QLatin1String("admin")) {
         handle_admin(call, reply);
     } else if (call.is("GET", "load")) {
-        reply->send_json(200,
-                         {{"incarnation", static_cast<qint64>(m_incarnation)}, {"running", m_running}, {"queued", 0}});
+        send_json(reply, 200,
+                  {{"incarnation", static_cast<qint64>(m_incarnation)}, {"running", m_running}, {"queued", 0}});
     } else {
         run(call, reply);
     }
@@ -34,7 +34,7 @@
 void fake_service::run(const http_call& call, const shared_reply& reply) {
     if (m_running >= m_settings.capacity) {
         ++m_refused;
-        reply->send_error(429, "overloaded");
+        send_error(reply, 429, "overloaded");
         return;
     }
     ++m_running;
@@ -47,10 +47,10 @@
     const bool is_lookup = call.method == "GET" || call.method == "HEAD";
     if (is_lookup) {
         ++m_lookups;
-        reply->send_json(200, {{"path", call.segments.join('/')}});
+        send_json(reply, 200, {{"path", call.segments.join('/')}});
         return;
     }
-    const QByteArray key = call.header("Idempotency-Key");
+    const QByteArray key = call.header("idempotency-key");
     std::int64_t& executions = key.isEmpty() ? m_calls_without_key : m_executions[key.toStdString()];
     ++executions;
     if (m_crash_after_execution) {
@@ -58,23 +58,24 @@
     }
     if (m_answers_to_lose > 0) {
         --m_answers_to_lose;
-        reply->drop();
+        reply->abort();
         return;
     }
-    reply->send_json(200, {{"path", call.segments.join('/')},
-                           {"key", QString::fromUtf8(key)},
-                           {"execution", static_cast<qint64>(executions)},
-                           {"body", QString::fromUtf8(call.body)}});
+    send_json(reply, 200,
+              {{"path", call.segments.join('/')},
+               {"key", QString::fromUtf8(key)},
+               {"execution", static_cast<qint64>(executions)},
+               {"body", QString::fromUtf8(call.body)}});
 }
 
 void fake_service::handle_admin(const http_call& call, const shared_reply& reply) {
     if (call.is("POST", "admin/faults")) {
         set_faults(call.json().value_or(QJsonObject()));
-        reply->send_json(200, {});
+        send_json(reply, 200, {});
     } else if (call.is("GET", "admin/stats")) {
-        reply->send_json(200, stats());
+        send_json(reply, 200, stats());
     } else {
-        reply->send_error(404, "unknown_path");
+        send_error(reply, 404, "unknown_path");
     }
 }
 
--- a/src/standins/fake_service.hpp
+++ b/src/standins/fake_service.hpp
@@ -2,8 +2,8 @@
 // key and refuses nothing by itself, so that a call that is sent twice shows.
 #pragma once
 
-#include "http_listener.hpp"
 #include "rate_limit.hpp"
+#include "standin_server.hpp"
 #include "timer_service.hpp"
 
 #include <QJsonObject>
--- a/src/standins/fault_proxy.cpp
+++ b/src/standins/fault_proxy.cpp
@@ -95,26 +95,26 @@
     if (call.is("POST", "pairs")) {
         const auto added = add(body["name"].toString().toStdString(), body["target"].toString().toStdString());
         if (added) {
-            reply->send_json(200, *added);
+            send_json(reply, 200, *added);
         } else {
-            reply->send_error(409, "not_added");
+            send_error(reply, 409, "not_added");
         }
     } else if (call.is("GET", "pairs")) {
         QJsonObject pairs;
         for (const auto& [name, pair] : m_pairs) {
             pairs[QString::fromStdString(name)] = pair->status();
         }
-        reply->send_json(200, pairs);
+        send_json(reply, 200, pairs);
     } else if (call.is("PUT", "pairs/*")) {
         const auto found = m_pairs.find(call.segments[2].toStdString());
         if (found == m_pairs.end()) {
-            reply->send_error(404, "unknown_pair");
+            send_error(reply, 404, "unknown_pair");
             return;
         }
         found->second->apply(body);
-        reply->send_json(200, found->second->status());
+        send_json(reply, 200, found->second->status());
     } else {
-        reply->send_error(404, "unknown_path");
+        send_error(reply, 404, "unknown_path");
     }
 }
 
--- a/src/standins/fault_proxy.hpp
+++ b/src/standins/fault_proxy.hpp
@@ -9,8 +9,8 @@
 // the open connections silent for good while new ones work.
 #pragma once
 
-#include "http_listener.hpp"
 #include "proxy_link.hpp"
+#include "standin_server.hpp"
 
 #include <QJsonObject>
 #include <QTcpServer>
--- a/src/standins/fleet.cpp
+++ b/src/standins/fleet.cpp
@@ -88,7 +88,7 @@
         m_proxy = spawn("fault-proxy", {}, "proxy", line);
         m_proxy_address = line["listening"].toString().toStdString();
     }
-    const http_answer added =
+    const test_answer added =
         call_json("POST", m_proxy_address, "/v1/pairs", {{"name", text(host)}, {"target", text(target)}});
     if (added.status != http_ok) {
         throw fleet_error("no proxy for " + host);
@@ -200,7 +200,7 @@
         host["caller_endpoint"] = text(which.address);
         host["peer_endpoint"] = shown(which.listeners.at("peer-listen"));
     }
-    const http_answer answer = call_json("PUT", m_platform_address, "/v1/hosts/" + which.plan.host, host);
+    const test_answer answer = call_json("PUT", m_platform_address, "/v1/hosts/" + which.plan.host, host);
     if (answer.status != http_ok) {
         throw fleet_error("the platform did not register " + which.plan.host);
     }
@@ -257,7 +257,7 @@
                            {"spec", spec},
                            {"operation", "fleet-" + QString::number(++last_operation)}};
     const QByteArray authorization = QByteArray("Bearer ") + fleet_operator_key;
-    const http_answer answer = call_json("PUT", operator_address(), "/v1/records/" + kind + "/" + name, body,
+    const test_answer answer = call_json("PUT", operator_address(), "/v1/records/" + kind + "/" + name, body,
                                          {{"Authorization", authorization}}, call_limit);
     if (answer.status != http_ok) {
         throw fleet_error("record " + kind + "/" + name + " was not accepted: status " + std::to_string(answer.status) +
@@ -283,7 +283,7 @@
     }
     puts.append(QJsonObject{{"key", "config/head"}, {"value", QJsonObject{{"version", version}}}});
     const QJsonArray checks{QJsonObject{{"key", "config/head"}, {"revision", 0}}};
-    const http_answer answer =
+    const test_answer answer =
         call_json("POST", m_platform_address, "/v1/table/transact", {{"checks", checks}, {"puts", puts}});
     if (answer.status != http_ok) {
         throw fleet_error("the initial records were not written");
--- a/src/standins/http_exchange.cpp
+++ b/src/standins/http_exchange.cpp
@@ -12,7 +12,7 @@
 // How often wait_until looks at its condition.
 constexpr std::chrono::milliseconds wait_step(5);
 
-QByteArray head_of(const http_request& request) {
+QByteArray head_of(const test_request& request) {
     QByteArray head = QByteArray::fromStdString(request.method + " " + request.path + " HTTP/1.1\r\n");
     head += "Host: " + QByteArray::fromStdString(request.address) + "\r\nConnection: close\r\n";
     for (const auto& [name, value] : request.headers) {
@@ -24,7 +24,7 @@
 
 }  // namespace
 
-http_exchange::http_exchange(const http_request& request) {
+http_exchange::http_exchange(const test_request& request) {
     connect(&m_socket, &QTcpSocket::readyRead, this, [this] { read(); });
     connect(&m_socket, &QTcpSocket::disconnected, this, [this] {
         read();
@@ -139,10 +139,10 @@
     return reached;
 }
 
-http_answer call_json(const std::string& method, const std::string& address, const std::string& path,
+test_answer call_json(const std::string& method, const std::string& address, const std::string& path,
                       const QJsonObject& body, const QList<QPair<QByteArray, QByteArray>>& headers,
                       std::chrono::milliseconds limit) {
-    http_request request{method, address, path, headers, {}};
+    test_request request{method, address, path, headers, {}};
     if (!body.isEmpty()) {
         request.headers.append(qMakePair(QByteArray("Content-Type"), QByteArray("application/json")));
         request.body = QJsonDocument(body).toJson(QJsonDocument::Compact);
--- a/src/standins/http_exchange.hpp
+++ b/src/standins/http_exchange.hpp
@@ -15,7 +15,7 @@
 
 namespace verbenahold::standins {
 
-struct http_request {
+struct test_request {
     std::string method = "GET";
     // "address:port"
     std::string address;
@@ -26,7 +26,7 @@
 
 class http_exchange : public QObject {
 public:
-    explicit http_exchange(const http_request& request);
+    explicit http_exchange(const test_request& request);
 
     // Zero until the status line has arrived.
     [[nodiscard]] int status() const { return m_status; }
@@ -64,12 +64,12 @@
 
 // Sends a request with a JSON body (none if empty) and waits for the answer.
 // Status 0: no whole answer came within the limit.
-struct http_answer {
+struct test_answer {
     int status = 0;
     QJsonObject json;
     QByteArray body;
 };
-http_answer call_json(const std::string& method, const std::string& address, const std::string& path,
+test_answer call_json(const std::string& method, const std::string& address, const std::string& path,
                       const QJsonObject& body = {}, const QList<QPair<QByteArray, QByteArray>>& headers = {},
                       std::chrono::milliseconds limit = std::chrono::seconds(5));
 
--- a/src/standins/program_start.cpp
+++ b/src/standins/program_start.cpp
@@ -31,8 +31,8 @@
     }
 }
 
-void announce(http_listener& listener, const std::string& listen_address) {
-    const auto address = listener.start(listen_address);
+void announce(standin_server& server, const std::string& listen_address) {
+    const auto address = server.start(listen_address);
     if (!address) {
         std::cerr << "cannot listen at " << listen_address << '\n';
         std::exit(EXIT_FAILURE);
--- a/src/standins/program_start.hpp
+++ b/src/standins/program_start.hpp
@@ -2,7 +2,7 @@
 // prints its address.
 #pragma once
 
-#include "http_listener.hpp"
+#include "standin_server.hpp"
 
 #include <boost/program_options.hpp>
 
@@ -18,6 +18,6 @@
 
 // Listens and prints {"listening":"address:port"}; ends the program with an
 // error if the address is not available.
-void announce(http_listener& listener, const std::string& listen_address);
+void announce(standin_server& server, const std::string& listen_address);
 
 }  // namespace verbenahold::standins
--- a/test/integration/standin_fleet.cpp
+++ b/test/integration/standin_fleet.cpp
@@ -24,7 +24,7 @@
     set.start(member_kind::engine, {"engine-1", "a", "llm", {}, true});
     set.start(member_kind::service, {"shop-1", "b", "shop", {}, false});
 
-    const http_answer hosts = call_json("GET", set.platform_address(), "/v1/hosts");
+    const test_answer hosts = call_json("GET", set.platform_address(), "/v1/hosts");
     REQUIRE(hosts.json["hosts"].toArray().size() == 2);
     const std::string shown = hosts.json["hosts"][0]["server_endpoint"].toString().toStdString();
     CHECK(shown != set.address("engine-1"));
@@ -36,7 +36,7 @@
     const std::string address = set.address("engine-1");
     set.restart("engine-1");
     CHECK(set.address("engine-1") == address);
-    const http_answer answer = call_json("POST", shown, "/v1/streams", request);
+    const test_answer answer = call_json("POST", shown, "/v1/streams", request);
     CHECK(answer.status == 200);
     CHECK(answer.body.contains("\"done\":true"));
     CHECK(set.stats("engine-1")["finished"].toInt() == 1);
