--- a/src/io/message_codec.cpp
+++ b/src/io/message_codec.cpp
@@ -119,6 +119,7 @@
 
 void write(const keyed_call& from, wire::KeyedCall& to) {
     to.set_key(from.key);
+    to.set_forward_number(from.forward_number);
     to.set_service(from.service.value);
     to.set_account(from.account.value);
     to.set_method(from.method);
@@ -383,6 +384,7 @@
     keyed_call read(wire::KeyedCall& from) {
         keyed_call to;
         to.key = from.key();
+        to.forward_number = from.forward_number();
         to.service = service_name(from.service());
         to.account = account_name(from.account());
         to.method = from.method();
--- /dev/null
+++ b/src/io/service_client.hpp
@@ -0,0 +1,32 @@
+// Calls to plain services, and their answers as events of the core.
+#pragma once
+
+#include <QObject>
+
+#include <functional>
+
+#include "http_client.hpp"
+#include "verbenahold/commands.hpp"
+#include "verbenahold/events.hpp"
+
+namespace verbenahold {
+
+class service_client : public QObject {
+public:
+    using event_sink = std::function<void(entry_event&&)>;
+
+    // `client` must outlive this object.
+    service_client(http_client& client, event_sink sink, QObject* parent = nullptr);
+
+    // Sends the call: an idempotent one over pooled connections, any other one
+    // on a connection of its own and never twice.
+    void run(const call_service& command);
+
+private:
+    void handle_answer(const server_name& server, const attempt_id& attempt, const http_answer& answer);
+
+    http_client& m_client;
+    event_sink m_sink;
+};
+
+}  // namespace verbenahold
