--- a/test/correctness/io_settings.cpp
+++ b/test/correctness/io_settings.cpp
@@ -37,7 +37,7 @@
     std::cout << "sources of settings: passed\n";
 }
 
-TEST_CASE("--print-config shows every value but secrets, and --help every flag") {
+TEST_CASE("print-config shows every value but secrets, and --help every flag") {
     const auto printed = read({"--print-config", "--key", "sesame"}).error();
     CHECK(printed.code == 0);
     CHECK(printed.text == "bind-address=127.0.0.1:0\nthreads=4\nverbose=false\nkey=(hidden)\n");
