--- a/src/core/account_limits.cpp
+++ b/src/core/account_limits.cpp
@@ -23,8 +23,11 @@
 constexpr double demand_smoothing = 0.5;
 // Part of an account's limit that is not granted by demand but equally, so
 // that a daemon whose demand is new gets something at once while the shares of
-// others are still valid.
-constexpr double equal_part = 0.05;
+// others are still valid. With 0.05 that was too little for one prompt.
+constexpr double equal_part = 0.2;
+// The part granted by demand is at most this multiple of the demand, which
+// leaves room for daemons whose demand is new.
+constexpr double demand_headroom = 4;
 // Entry daemons that serve one account in a large deployment (section 8).
 constexpr std::size_t daemons_for_account = 18;
 
@@ -125,20 +128,21 @@
     return best == daemons.end() ? m_self : *best;
 }
 
-double account_limits::grant_share(const daemon_id& to, const account_demand& demand, time_point now) {
-    auto& daemons = m_coordinated[demand.account].daemons;
+double account_limits::grant_share(const daemon_id& to, const account_spec& account, double demand, double default_part,
+                                   time_point now) {
+    auto& daemons = m_coordinated[account.name].daemons;
     std::erase_if(daemons, [&](const auto& entry) { return entry.first != to && entry.second.until <= now; });
     granted_share& own = daemons[to];
-    own.demand = std::max(0.0, demand.tokens_per_second);
+    own.demand = std::max(0.0, demand);
     double total_demand = 0;
     double granted_to_others = 0;
     for (const auto& [daemon, granted] : daemons) {
         total_demand += granted.demand;
         granted_to_others += daemon == to ? 0 : granted.share;
     }
-    const double equal = equal_part / static_cast<double>(daemons.size() + 1);
-    const double by_demand = total_demand > 0 ? own.demand / total_demand : 0;
-    const double fair = equal + (1 - equal_part) * by_demand;
+    const double by_demand = total_demand > 0 ? (1 - equal_part) * own.demand / total_demand : 0;
+    const double needed = demand_headroom * own.demand / std::max(1.0, account.tokens_per_second);
+    const double fair = equal_part * default_part + std::min(by_demand, needed);
     // What others hold stays theirs until it expires or they report again.
     own.share = std::clamp(fair, 0.0, std::max(0.0, 1 - granted_to_others));
     own.until = now + share_validity;
@@ -149,10 +153,12 @@
                                       const membership& members, time_point now, std::vector<entry_command>& out) {
     share_grant grant;
     grant.valid_for = share_validity;
+    const double default_part = default_share(members);
     for (const account_demand& demand : report.demands) {
-        const bool is_known = config.find_account(demand.account) != nullptr;
-        if (is_known && std::isfinite(demand.tokens_per_second)) {
-            grant.shares.push_back({demand.account, grant_share(from, demand, now)});
+        const account_spec* account = config.find_account(demand.account);
+        if (account != nullptr && std::isfinite(demand.tokens_per_second)) {
+            grant.shares.push_back(
+                {account->name, grant_share(from, *account, demand.tokens_per_second, default_part, now)});
         }
     }
     if (!grant.shares.empty()) {
@@ -211,7 +217,9 @@
             continue;
         }
         for (const account_demand& demand : report.demands) {
-            take_share(demand.account, grant_share(m_self, demand, now), share_validity, now);
+            const account_spec& account = *config.find_account(demand.account);
+            const double share = grant_share(m_self, account, demand.tokens_per_second, default_share(members), now);
+            take_share(account.name, share, share_validity, now);
         }
     }
 }
--- a/src/core/account_limits.hpp
+++ b/src/core/account_limits.hpp
@@ -55,7 +55,8 @@
 
     [[nodiscard]] static double default_share(const membership& members);
     [[nodiscard]] daemon_id coordinator_of(const account_name& account, const membership& members) const;
-    double grant_share(const daemon_id& to, const account_demand& demand, time_point now);
+    double grant_share(const daemon_id& to, const account_spec& account, double demand, double default_part,
+                       time_point now);
     void take_share(const account_name& account, double share, duration valid_for, time_point now);
     void measure_demand(time_point now);
     void forget_expired(time_point now);
