Fit prefill time by a line with a fixed cost per request

Cause: the speed was seconds over tokens of all samples of a class. After a few prompts of 3 tokens (30 ms each) 700,000 tokens were predicted to take two hours, and owners bounced the request as infeasible for 5 s until it was refused. Change: a decayed least-squares line per length class; with samples of one length only, the slope is at most the first guess.

--- a/src/core/cost_model.cpp
+++ b/src/core/cost_model.cpp
@@ -17,6 +17,10 @@
     return std::chrono::round<duration>(std::chrono::duration<double>(seconds));
 }
 
+// Least standard deviation of sample lengths, as a part of their mean, from
+// which a slope is fitted.
+constexpr double least_spread_part = 0.1;
+
 double to_seconds(duration time) {
     return std::chrono::duration<double>(time).count();
 }
@@ -45,6 +49,31 @@
     mean += sample_weight * (value - mean);
 }
 
+void cost_model::prefill_line::add(double sample_tokens, double sample_seconds) {
+    const double kept = 1 - sample_weight;
+    weight = kept * weight + 1;
+    tokens = kept * tokens + sample_tokens;
+    seconds = kept * seconds + sample_seconds;
+    tokens_squared = kept * tokens_squared + sample_tokens * sample_tokens;
+    tokens_seconds = kept * tokens_seconds + sample_tokens * sample_seconds;
+}
+
+double cost_model::prefill_line::predict(double wanted_tokens) const {
+    const double mean_tokens = tokens / weight;
+    const double mean_seconds = seconds / weight;
+    const double variance = tokens_squared / weight - mean_tokens * mean_tokens;
+    const double covariance = tokens_seconds / weight - mean_tokens * mean_seconds;
+    // Samples of nearly one length say nothing of the slope; the fixed cost of
+    // tiny prompts must not pass for a low speed.
+    const double least_spread = least_spread_part * mean_tokens;
+    double slope = std::min(to_seconds(first_prefill_per_token), mean_seconds / mean_tokens);
+    if (variance > least_spread * least_spread && covariance > 0) {
+        slope = covariance / variance;
+    }
+    const double fixed = std::max(0.0, mean_seconds - slope * mean_tokens);
+    return fixed + slope * wanted_tokens;
+}
+
 std::size_t cost_model::speed_class(std::int64_t uncached_tokens) {
     if (uncached_tokens <= short_limit_tokens) {
         return 0;
@@ -68,7 +97,7 @@
 }
 
 duration cost_model::predict_prefill(const service_name& service, std::int64_t uncached_tokens) const {
-    double seconds_per_token = to_seconds(first_prefill_per_token);
+    const auto tokens = static_cast<double>(std::max<std::int64_t>(0, uncached_tokens));
     const auto costs = m_services.find(service);
     if (costs != m_services.end()) {
         // The nearest class that has samples; a shorter one before a longer.
@@ -78,14 +107,13 @@
             if (index < 0 || index >= std::ssize(costs->second.prefill)) {
                 continue;
             }
-            const prefill_speed& speed = costs->second.prefill.at(static_cast<std::size_t>(index));
-            if (speed.tokens > 0) {
-                seconds_per_token = speed.seconds / speed.tokens;
-                break;
+            const prefill_line& line = costs->second.prefill.at(static_cast<std::size_t>(index));
+            if (line.weight > 0) {
+                return to_duration(line.predict(tokens));
             }
         }
     }
-    return to_duration(seconds_per_token * static_cast<double>(std::max<std::int64_t>(0, uncached_tokens)));
+    return to_duration(to_seconds(first_prefill_per_token) * tokens);
 }
 
 duration cost_model::predict_token_gap(const service_name& service) const {
@@ -106,9 +134,9 @@
     if (uncached_tokens <= 0 || taken < duration::zero()) {
         return;
     }
-    prefill_speed& speed = m_services[service].prefill.at(speed_class(uncached_tokens));
-    speed.seconds = (1 - sample_weight) * speed.seconds + to_seconds(taken);
-    speed.tokens = (1 - sample_weight) * speed.tokens + static_cast<double>(uncached_tokens);
+    m_services[service]
+        .prefill.at(speed_class(uncached_tokens))
+        .add(static_cast<double>(uncached_tokens), to_seconds(taken));
 }
 
 void cost_model::on_token_gap(const service_name& service, duration gap) {
--- a/src/core/cost_model.hpp
+++ b/src/core/cost_model.hpp
@@ -44,16 +44,21 @@
         bool known = false;
         void add(double value);
     };
-    // Sums that decay with each sample, so that their quotient weighs samples
-    // by their tokens: the fixed cost of tiny prompts does not pass for a low
-    // speed.
-    struct prefill_speed {
-        double seconds = 0;
+    // Least-squares line of prefill time over tokens, from sums that decay
+    // with each sample: a fixed cost per request and a cost per token.
+    struct prefill_line {
+        double weight = 0;
         double tokens = 0;
+        double seconds = 0;
+        double tokens_squared = 0;
+        double tokens_seconds = 0;
+
+        void add(double sample_tokens, double sample_seconds);
+        [[nodiscard]] double predict(double wanted_tokens) const;
     };
     struct service_costs {
         // Prefill slows down with length, so each length class has its own.
-        std::array<prefill_speed, 3> prefill;
+        std::array<prefill_line, 3> prefill;
         average token_gap;
         average output;
         std::unordered_map<account_name, average> output_by_account;
--- a/test/correctness/core_cost_model.cpp
+++ b/test/correctness/core_cost_model.cpp
@@ -51,6 +51,18 @@
     std::cout << "cost model prefill by class: passed\n";
 }
 
+TEST_CASE("the fixed cost of tiny prompts does not pass for a low speed") {
+    // Seen: after a few prompts of 3 tokens at 30 ms each, 700,000 tokens were
+    // predicted to take two hours and every long prompt was refused.
+    cost_model costs;
+    for (int sample = 0; sample < 20; ++sample) {
+        costs.on_prefill(chat, 3, 30ms);
+    }
+    CHECK(costs.predict_prefill(chat, 700'000) <= 71s);
+    CHECK(costs.predict_prefill(chat, 3) >= 30ms);
+    std::cout << "cost model with tiny prompts: passed\n";
+}
+
 TEST_CASE("prompts are classified by uncached tokens and by whether they fit one engine") {
     CHECK(classify(4'096, 300'000, 400'000) == length_class::short_prompt);
     CHECK(classify(32'768, 40'000, 400'000) == length_class::medium_prompt);
