--- a/src/programs/fake_engine.cpp
+++ b/src/programs/fake_engine.cpp
@@ -37,7 +37,9 @@
         "model-version", po::value(&model.model_version)->default_value("1"))(
         "load-lag-ms", po::value(&times.load_lag)->default_value(200))("event-lag-ms",
                                                                        po::value(&times.event_lag)->default_value(500))(
-        "check-fence", po::value(&settings.checks_fence)->default_value(true))(
+        "platform-url", po::value(&settings.platform_url)->default_value(""),
+        "where weights are fetched before a model load")("check-fence",
+                                                         po::value(&settings.checks_fence)->default_value(true))(
         "crash-marker", po::value(&settings.crash_marker)->default_value(settings.crash_marker))(
         "time-scale", po::value(&model.time_scale)->default_value(1), "engine time per real time");
     return options;
@@ -55,7 +57,7 @@
     standins::read_options(argc, argv, "fake-engine", options, address);
     settings.model.decode_step = milliseconds(times.decode_step);
     settings.model.event_lag = milliseconds(times.event_lag);
-    settings.model.model_load_time = milliseconds(times.model_load);
+    settings.model_load_time = milliseconds(times.model_load);
     settings.model.collapse_time = milliseconds(times.collapse);
     settings.load_lag = milliseconds(times.load_lag);
 
--- a/src/standins/engine_model.cpp
+++ b/src/standins/engine_model.cpp
@@ -67,7 +67,7 @@
         ++m_counters.cold_overloads;
         m_collapsed_until = now + m_settings.collapse_time;
     }
-    if (now < m_collapsed_until || now < m_loading_until) {
+    if (now < m_collapsed_until || m_loading_version) {
         ++m_counters.refused;
         return start_result::overloaded;
     }
@@ -241,7 +241,7 @@
         const double taken = std::min(tokens, stream->prefill_left);
         stream->prefill_left -= taken;
         tokens -= taken;
-        m_counters.prefilled_tokens += static_cast<std::uint64_t>(taken);
+        m_counters.prefilled_tokens += taken;
         if (stream->prefill_left > 0) {
             continue;
         }
@@ -306,20 +306,25 @@
     m_cache.clear();
 }
 
-bool engine_model::load_model(const std::string& version, time_point now) {
-    if (version == m_model_version) {
+bool engine_model::begin_load(const std::string& version) {
+    if (version == m_loading_version.value_or(m_model_version)) {
         return false;
     }
     m_counters.cut_by_load += static_cast<std::uint64_t>(count_active());
     m_streams.clear();
-    m_model_version = version;
+    m_loading_version = version;
     ++m_counters.model_loads;
-    const double seconds = seconds_of(m_settings.model_load_time) / m_settings.time_scale;
-    m_loading_until = now + std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
     make_cold();
     return true;
 }
 
+void engine_model::end_load() {
+    if (m_loading_version) {
+        m_model_version = *m_loading_version;
+        m_loading_version.reset();
+    }
+}
+
 std::int64_t engine_model::kv_used() const {
     std::int64_t used = 0;
     for (const auto& [id, stream] : m_streams) {
@@ -342,7 +347,7 @@
     }
     report.kv_used = kv_used();
     report.prefill_backlog = static_cast<std::int64_t>(backlog);
-    report.model_version = m_model_version;
+    report.model_version = m_loading_version ? std::string() : m_model_version;
     return report;
 }
 
--- a/src/standins/engine_model.hpp
+++ b/src/standins/engine_model.hpp
@@ -35,7 +35,6 @@
     // How long an engine that was given more than it carries cold runs slowly
     // after the last overload.
     duration collapse_time = std::chrono::seconds(2);
-    duration model_load_time = std::chrono::seconds(2);
     std::string model_version = "1";
     // Engine time per real time: 10 makes everything ten times as fast.
     double time_scale = 1;
@@ -99,6 +98,7 @@
     int queued = 0;
     std::int64_t kv_used = 0;
     std::int64_t prefill_backlog = 0;
+    // Empty while a model is being loaded.
     std::string model_version;
 };
 
@@ -117,7 +117,8 @@
     // Tokens of earlier attempts that are not the answer's.
     std::uint64_t wrong_generated = 0;
     std::uint64_t cached_tokens = 0;
-    std::uint64_t prefilled_tokens = 0;
+    // A step prefills fractions of tokens.
+    double prefilled_tokens = 0;
 };
 
 class engine_model {
@@ -151,9 +152,11 @@
     // Whether time changes anything.
     [[nodiscard]] bool is_busy() const;
     void make_cold();
-    // Ends all streams, loads for the model load time and is cold then. Does
-    // nothing if that version is loaded already; returns whether it loads.
-    bool load_model(const std::string& version, time_point now);
+    // Ends all streams and refuses new ones until end_load(); the engine is
+    // cold then. Does nothing if that version is there or being loaded;
+    // returns whether a load began.
+    bool begin_load(const std::string& version);
+    void end_load();
 
     [[nodiscard]] engine_load load() const;
     [[nodiscard]] std::int64_t kv_used() const;
@@ -183,8 +186,8 @@
     bool m_cold = false;
     int m_completions_while_cold = 0;
     time_point m_collapsed_until{};
-    time_point m_loading_until{};
     std::string m_model_version;
+    std::optional<std::string> m_loading_version;
     engine_counters m_counters;
 };
 
--- a/src/standins/fake_engine.cpp
+++ b/src/standins/fake_engine.cpp
@@ -9,6 +9,7 @@
 #include <QThread>
 
 #include <algorithm>
+#include <cmath>
 #include <cstdlib>
 #include <utility>
 
@@ -20,6 +21,8 @@
 
 constexpr milliseconds step_period(10);
 constexpr milliseconds heartbeat_period(500);
+// Wait before the weight store is asked again after a refusal.
+constexpr milliseconds weight_retry(500);
 constexpr int exit_crashed = 70;
 // Streams whose starts are remembered for /v1/admin/stats.
 constexpr std::size_t max_start_records = 50'000;
@@ -452,18 +455,52 @@
     m_highest_fence = std::max(m_highest_fence, fence);
     ++m_orders_by_fence[std::to_string(fence)];
     if (order == QLatin1String("load_model")) {
-        m_model.load_model((*body)["version"].toString().toStdString(), m_timers.now());
-        remember_load();
-        serve_readers();
+        load_model((*body)["model"].toString(), (*body)["version"].toString());
     } else if (order == QLatin1String("set_role")) {
         m_role = (*body)["role"].toString();
-    } else if (order != QLatin1String("load_adapter")) {
+    } else if (order == QLatin1String("load_adapter")) {
+        m_adapters.insert((*body)["adapter"].toString());
+    } else {
         send_error(reply, 400, "bad_request");
         return;
     }
     send_json(reply, 200, {});
 }
 
+void fake_engine::load_model(const QString& model, const QString& version) {
+    if (!m_model.begin_load(version.toStdString())) {
+        return;
+    }
+    remember_load();
+    serve_readers();
+    fetch_weights(++m_load_number, model, version);
+}
+
+void fake_engine::fetch_weights(std::uint64_t load_number, const QString& model, const QString& version) {
+    const auto run_load = [this, load_number] {
+        m_timers.after(m_settings.model_load_time, [this, load_number] {
+            // A later order may have replaced this load.
+            if (load_number == m_load_number) {
+                m_model.end_load();
+                remember_load();
+            }
+        });
+    };
+    if (m_settings.platform_url.empty()) {
+        run_load();
+        return;
+    }
+    verbenahold::http_call call;
+    call.url = QUrl(QString::fromStdString(m_settings.platform_url) + "/v1/weights/" + model + "/" + version);
+    m_client.send(call, [this, load_number, model, version, run_load](const http_answer& answer) {
+        if (answer.good()) {
+            run_load();
+        } else if (load_number == m_load_number) {
+            m_timers.after(weight_retry, [=, this] { fetch_weights(load_number, model, version); });
+        }
+    });
+}
+
 void fake_engine::handle_admin(const http_call& call, const shared_reply& reply) {
     if (call.is("POST", "admin/faults")) {
         send_json(reply, 200, {});
@@ -519,9 +556,10 @@
             {"cut_by_load", static_cast<qint64>(counters.cut_by_load)},
             {"wrong_generated", static_cast<qint64>(counters.wrong_generated)},
             {"cached_tokens", static_cast<qint64>(counters.cached_tokens)},
-            {"prefilled_tokens", static_cast<qint64>(counters.prefilled_tokens)},
+            {"prefilled_tokens", std::llround(counters.prefilled_tokens)},
             {"kv_used", static_cast<qint64>(m_model.kv_used())},
             {"role", m_role},
+            {"adapters", QJsonArray::fromStringList(QStringList(m_adapters.begin(), m_adapters.end()))},
             {"stale_orders", static_cast<qint64>(m_stale_orders)},
             {"orders_by_fence", orders},
             {"executions", executions},
--- a/src/standins/fake_engine.hpp
+++ b/src/standins/fake_engine.hpp
@@ -4,6 +4,7 @@
 
 #include "engine_model.hpp"
 #include "group_watch.hpp"
+#include "http_client.hpp"
 #include "standin_server.hpp"
 #include "timer_service.hpp"
 
@@ -13,6 +14,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -26,6 +28,9 @@
     // How far the load report is behind the truth.
     duration load_lag = std::chrono::milliseconds(200);
     bool checks_fence = true;
+    duration model_load_time = std::chrono::seconds(2);
+    // Weights are fetched from there before a model load; not if it is empty.
+    std::string platform_url;
 };
 
 class fake_engine {
@@ -50,6 +55,9 @@
     void handle_kv(const http_call& call, const shared_reply& reply);
     void handle_reservations(const http_call& call, const shared_reply& reply);
     void handle_orders(const http_call& call, const shared_reply& reply);
+    void load_model(const QString& model, const QString& version);
+    // Repeats until the weight store allows it, then runs the load.
+    void fetch_weights(std::uint64_t load_number, const QString& model, const QString& version);
     void handle_admin(const http_call& call, const shared_reply& reply);
 
     void start_stream(const http_call& call, const shared_reply& reply);
@@ -80,6 +88,7 @@
     timer_service& m_timers;
     engine_model m_model;
     group_watch m_groups;
+    http_client m_client;
     std::uint64_t m_incarnation;
     std::map<std::string, reader> m_readers;
     std::uint64_t m_step_timer = 0;
@@ -88,6 +97,8 @@
 
     std::int64_t m_highest_fence = 0;
     QString m_role = "serve";
+    std::set<QString> m_adapters;
+    std::uint64_t m_load_number = 0;
     std::map<std::string, std::int64_t> m_orders_by_fence;
     std::int64_t m_stale_orders = 0;
     std::map<std::string, start_record> m_starts;
--- a/src/standins/fleet.cpp
+++ b/src/standins/fleet.cpp
@@ -121,7 +121,7 @@
     to.address = to.listeners[listeners_of(to.kind).front().first];
 }
 
-void fleet::start(member_kind kind, const member_plan& plan) {
+void fleet::start_unregistered(member_kind kind, const member_plan& plan) {
     member& added = m_members[plan.host];
     added.kind = kind;
     added.plan = plan;
@@ -130,8 +130,12 @@
         const std::string& target = is_backend(kind) ? added.address : added.listeners["peer-listen"];
         m_proxied[plan.host] = add_proxy(plan.host, target);
     }
+}
+
+void fleet::start(member_kind kind, const member_plan& plan) {
+    start_unregistered(kind, plan);
     if (kind != member_kind::control) {
-        register_host(added, "live");
+        register_host(find(plan.host), "live");
     }
 }
 
--- a/src/standins/fleet.hpp
+++ b/src/standins/fleet.hpp
@@ -54,6 +54,8 @@
     // The platform comes first. All starters throw fleet_error.
     void start_platform(const QStringList& arguments = {});
     void start(member_kind kind, const member_plan& plan);
+    // The same without an entry in the platform's host list.
+    void start_unregistered(member_kind kind, const member_plan& plan);
     // Starts the program again under the same addresses after it has ended.
     void restart(const std::string& host);
 
