--- a/include/verbenahold/control_core.hpp
+++ b/include/verbenahold/control_core.hpp
@@ -16,6 +16,7 @@
 
 struct control_settings {
     daemon_id self;
+    zone_name zone;
     // Time of day (Unix time) at time_point zero. Used only for the age of
     // rows, where a few minutes of difference between hosts do no harm.
     std::chrono::seconds unix_time_at_zero{};
--- a/src/core/control_core.cpp
+++ b/src/core/control_core.cpp
@@ -251,6 +251,7 @@
             }
         }
         return {{"daemon", to_qstring(to_string(m_settings.self))},
+                {"zone", to_qstring(m_settings.zone.value)},
                 {"version", static_cast<qint64>(m_cache.current()->version())},
                 {"confirmed", confirmed},
                 {"writes_schema_version", m_desk.writable_schema()},
--- a/src/core/operator_desk.cpp
+++ b/src/core/operator_desk.cpp
@@ -177,7 +177,7 @@
             more.emplace_back(reply_to(ticket, outcome));
             const bool accepted = outcome.verdict == write_verdict::accepted;
             more.emplace_back(
-                count{accepted ? "verbenahold_writes_accepted_total" : "verbenahold_writes_refused_total"});
+                count{accepted ? "writes_accepted" : "writes_refused"});
             if (accepted) {
                 more.emplace_back(log_change{"accepted " + std::string(to_string(key.kind)) + '/' + key.name +
                                              " at version " + std::to_string(outcome.version)});
--- a/src/core/order_planner.cpp
+++ b/src/core/order_planner.cpp
@@ -456,7 +456,7 @@
     open_order& order = found->second;
     order.retry_at = ctx.now + retry_interval;
     if (event.state != weights_state::available) {
-        ctx.out.emplace_back(count{"verbenahold_weight_waits_total"});
+        ctx.out.emplace_back(count{"weight_waits"});
         return;
     }
     // The server is listed once more right before it is ordered.
@@ -475,7 +475,7 @@
     order.retry_at = ctx.now + table_port::call_limit;
     ctx.out.emplace_back(
         send_order{order.call, server, m_servers.at(server).address, m_fence, order.steps[order.next_step]});
-    ctx.out.emplace_back(count{"verbenahold_orders_sent_total"});
+    ctx.out.emplace_back(count{"orders_sent"});
 }
 
 void order_planner::on_event(const order_answered& event, const context& ctx) {
--- a/src/core/order_planner.hpp
+++ b/src/core/order_planner.hpp
@@ -37,9 +37,10 @@
 public:
     using commands = std::vector<control_command>;
 
-    // Owners read order rows each 2 s at most; a server counts as drained only
-    // when a listing sent this long after its row was written is empty.
-    static constexpr duration drain_notice = std::chrono::seconds(3);
+    // Entry daemons read order rows each 2 s with calls of up to 2 s; a server
+    // counts as drained only when a listing sent this long after its row was
+    // written is empty.
+    static constexpr duration drain_notice = std::chrono::seconds(4);
     // A server that does not answer gives its place up to another one if it
     // has not been ordered yet.
     static constexpr duration unreachable_limit = std::chrono::seconds(30);
--- a/src/core/row_collector.cpp
+++ b/src/core/row_collector.cpp
@@ -86,7 +86,7 @@
                      [this, removed](const rows_transacted& result, time_point, commands& more) {
                          m_busy = false;
                          if (result.status == transact_status::done) {
-                             more.emplace_back(count{"verbenahold_rows_removed_total", removed});
+                             more.emplace_back(count{"rows_removed", removed});
                          }
                      });
 }
--- a/src/io/caller_listener.cpp
+++ b/src/io/caller_listener.cpp
@@ -63,7 +63,12 @@
     add_route("GET", "/healthz", [](const auto&, const auto& reply) { reply->send(200, "text/plain", "ok\n"); });
     add_route("GET", "/readyz", [this](const auto&, const auto& reply) {
         const bool ready = m_hooks.is_ready();
-        reply->send(ready ? 200 : 503, "text/plain", ready ? "ready\n" : "not ready\n");
+        // Control processes write records in the highest schema version that
+        // all daemons announce here.
+        reply->send(ready ? 200 : 503, "application/json",
+                    json_text({{"ready", ready},
+                               {"oldest_schema", oldest_schema_version},
+                               {"newest_schema", newest_schema_version}}));
     });
     add_route("GET", "/metrics", [this](const auto&, const auto& reply) {
         reply->send(200, "text/plain; version=0.0.4", m_hooks.metrics_text());
--- a/src/io/control_shell.cpp
+++ b/src/io/control_shell.cpp
@@ -25,7 +25,9 @@
     const QDateTime clock = QDateTime::currentDateTimeUtc();
     const auto incarnation = static_cast<std::uint64_t>(clock.toMSecsSinceEpoch()) * 1'000;
     const auto unix_now = std::chrono::seconds(clock.toSecsSinceEpoch());
-    return {{settings.host, incarnation}, unix_now - std::chrono::floor<std::chrono::seconds>(now.time_since_epoch())};
+    return {{settings.host, incarnation},
+            settings.zone,
+            unix_now - std::chrono::floor<std::chrono::seconds>(now.time_since_epoch())};
 }
 
 rows_read to_event(std::uint64_t call, const platform_result<platform_client::rows>& result) {
@@ -222,7 +224,7 @@
 }
 
 void control_shell::run(const count& command) {
-    m_counters[std::string(command.name)] += command.amount;
+    m_metrics.add(command.name, command.amount);
 }
 
 void control_shell::run(const drained& /*command*/) {
@@ -231,20 +233,13 @@
     }
 }
 
-QByteArray control_shell::metrics() const {
-    QByteArray text;
-    const auto add = [&](const std::string& name, const char* type, std::int64_t value) {
-        text += "# TYPE " + name + ' ' + type + '\n' + name + ' ' + std::to_string(value) + '\n';
-    };
-    for (const auto& [name, value] : m_counters) {
-        add(name, "counter", value);
-    }
+QByteArray control_shell::metrics_text() {
     const control_core::figures figures = m_core.read_figures();
-    add("verbenahold_config_version", "gauge", static_cast<std::int64_t>(figures.config_version));
-    add("verbenahold_open_operations", "gauge", static_cast<std::int64_t>(figures.open_operations));
-    add("verbenahold_held_leases", "gauge", static_cast<std::int64_t>(figures.held_leases));
-    add("verbenahold_open_orders", "gauge", static_cast<std::int64_t>(figures.open_orders));
-    return text;
+    m_metrics.set_gauge("config_version", static_cast<double>(figures.config_version));
+    m_metrics.set_gauge("open_operations", static_cast<double>(figures.open_operations));
+    m_metrics.set_gauge("held_leases", static_cast<double>(figures.held_leases));
+    m_metrics.set_gauge("open_orders", static_cast<double>(figures.open_orders));
+    return m_metrics.text();
 }
 
 }  // namespace verbenahold
--- a/src/io/control_shell.hpp
+++ b/src/io/control_shell.hpp
@@ -14,6 +14,7 @@
 
 #include "engine_client.hpp"
 #include "http_client.hpp"
+#include "metrics.hpp"
 #include "platform_client.hpp"
 #include "timer_service.hpp"
 #include "verbenahold/control_core.hpp"
@@ -26,6 +27,7 @@
 
     struct options {
         host_name host;
+        zone_name zone;
         QUrl platform;
         // Whether the entries' caller listeners use TLS.
         bool entry_tls = false;
@@ -42,7 +44,7 @@
     void deliver(control_event event);
 
     // Prometheus text.
-    [[nodiscard]] QByteArray metrics() const;
+    [[nodiscard]] QByteArray metrics_text();
 
 private:
     void pump();
@@ -73,7 +75,7 @@
     std::deque<control_event> m_events;
     bool m_pumping = false;
     timer_service::subscription m_wakeup = 0;
-    std::map<std::string, std::int64_t, std::less<>> m_counters;
+    metrics m_metrics;
 };
 
 }  // namespace verbenahold
--- a/src/io/entry_shell.hpp
+++ b/src/io/entry_shell.hpp
@@ -17,6 +17,7 @@
 #include "entry_table.hpp"
 #include "http_client.hpp"
 #include "metrics.hpp"
+#include "order_watch.hpp"
 #include "peer_transport.hpp"
 #include "platform_client.hpp"
 #include "service_client.hpp"
@@ -74,6 +75,7 @@
     engine_client m_engines;
     service_client m_services;
     entry_table m_table;
+    order_watch m_orders;
     peer_transport m_peers;
     caller_listener m_callers;
     std::unique_ptr<entry_core> m_core;
--- a/src/io/operator_listener.cpp
+++ b/src/io/operator_listener.cpp
@@ -54,7 +54,7 @@
         reply->send(status_ok, "application/json", json_text({{"ok", true}}));
     });
     add_route("GET", "/metrics", [this](const http_request&, const shared_reply& reply) {
-        reply->send(status_ok, "text/plain; version=0.0.4", m_shell.metrics());
+        reply->send(status_ok, "text/plain; version=0.0.4", m_shell.metrics_text());
     });
     add_operator_route("GET", "/v1/records",
                        [this](const http_request& request, std::uint64_t ticket, const shared_reply& reply) {
--- a/src/io/record_printer.cpp
+++ b/src/io/record_printer.cpp
@@ -75,10 +75,10 @@
 
 std::string print_status(const QJsonObject& status) {
     const std::string confirmed = status["confirmed"].toBool() ? "confirmed" : "NOT CONFIRMED: the table is down";
-    std::string result = "daemon   " + text(status["daemon"]) + "\nversion  " + text(status["version"]) + " (" +
-                         confirmed + ")\nwrites   schema version " + text(status["writes_schema_version"]) +
-                         "\nhosts    " + fields_of(status["hosts"].toObject()) + "\nout      " +
-                         text(status["zones_out"]) + "\n\n";
+    std::string result = "daemon   " + text(status["daemon"]) + " in " + text(status["zone"]) + "\nversion  " +
+                         text(status["version"]) + " (" + confirmed + ")\nwrites   schema version " +
+                         text(status["writes_schema_version"]) + "\nhosts    " + fields_of(status["hosts"].toObject()) +
+                         "\nout      " + text(status["zones_out"]) + "\n\n";
     std::vector<std::vector<std::string>> services{{"SERVICE", "HOLDER", "FENCE", "SERVERS", "OBSERVED", "AT TARGET"}};
     std::vector<std::vector<std::string>> orders{{"ORDERED SERVER", "STAGE", "TARGET"}};
     for (const auto& item : status["services"].toArray()) {
--- a/src/programs/control.cpp
+++ b/src/programs/control.cpp
@@ -4,7 +4,7 @@
 #include "logging.hpp"
 #include "operator_listener.hpp"
 #include "settings.hpp"
-#include "stop_signal.hpp"
+#include "termination_signals.hpp"
 
 #include <QCoreApplication>
 #include <QSslConfiguration>
@@ -23,6 +23,7 @@
 std::vector<option_definition> control_options() {
     std::vector<option_definition> options = shared_options();
     options.push_back({"host", option_type::name, "", "name of this host in the platform's host list"});
+    options.push_back({"zone", option_type::name, "", "availability zone of this host"});
     options.push_back({"operator-address", option_type::address, "127.0.0.1:0", "address of the operators' interface"});
     options.push_back({"operator-key-sha256", option_type::text, "",
                        "SHA-256 of the operator key in hexadecimal; several, separated by commas, allow a key to be "
@@ -64,8 +65,8 @@
         trust(chosen.text("entry-ca-file"));
     }
 
-    control_shell shell({host_name(chosen.text("host")), QUrl(QString::fromStdString(chosen.text("platform-url"))),
-                         chosen.boolean("entry-tls")});
+    control_shell shell({host_name(chosen.text("host")), zone_name(chosen.text("zone")),
+                         QUrl(QString::fromStdString(chosen.text("platform-url"))), chosen.boolean("entry-tls")});
     operator_listener listener(shell, key_hashes);
     const std::string tls_fault = certificate.empty() ? "" : listener.use_tls(certificate, private_key);
     if (!tls_fault.empty()) {
@@ -78,7 +79,7 @@
     // Answers that were sent last need a moment to leave the process.
     constexpr std::chrono::milliseconds flush_time(200);
     shell.set_drained_action([&] { QTimer::singleShot(flush_time, &application, &QCoreApplication::quit); });
-    const stop_signal stop([&] {
+    const termination_signals termination([&] {
         listener.stop_listening();
         shell.deliver(drain_requested{});
     });
--- a/src/standins/fleet.cpp
+++ b/src/standins/fleet.cpp
@@ -1,5 +1,6 @@
 #include "fleet.hpp"
 
+#include <QCryptographicHash>
 #include <QJsonArray>
 
 #include <csignal>
@@ -40,7 +41,7 @@
         case member_kind::entry:
             return {{"caller-listen", "caller"}, {"peer-listen", "peer"}};
         case member_kind::control:
-            return {{"operator-listen", "operator"}};
+            return {{"operator-address", "operator"}};
         case member_kind::engine:
         case member_kind::service:
             break;
@@ -103,7 +104,8 @@
                   << "http://" + text(m_platform_address);
     }
     if (of.kind == member_kind::control) {
-        arguments << "--operator-key" << fleet_operator_key;
+        arguments << "--operator-key-sha256"
+                  << QCryptographicHash::hash(fleet_operator_key, QCryptographicHash::Sha256).toHex();
     }
     for (const auto& [flag, name] : listeners_of(of.kind)) {
         const auto known = of.listeners.find(flag);
--- a/test/driver/control_bench.cpp
+++ b/test/driver/control_bench.cpp
@@ -17,7 +17,7 @@
     for (std::size_t i = 0; i < processes; ++i) {
         const daemon_id self{host_name("entry-" + std::to_string(i)), 1'000 + i};
         control_process next;
-        next.core = std::make_unique<control_core>(control_settings{self, unix_start});
+        next.core = std::make_unique<control_core>(control_settings{self, zone_name("zone-a"), unix_start});
         m_processes.push_back(std::move(next));
     }
 }
