--- a/src/io/completion_format.cpp
+++ b/src/io/completion_format.cpp
@@ -26,12 +26,13 @@
 }
 
 void append_finish(QByteArray& json, const reply_finished& end) {
+    const std::int64_t total = end.prompt_tokens + end.output_tokens;
     json += ",\"finish_reason\":";
     append_json_string(json, end.finish_reason);
     json +=
         "}],\"usage\":{\"prompt_tokens\":" + QByteArray::number(static_cast<qint64>(end.prompt_tokens)) +
         ",\"completion_tokens\":" + QByteArray::number(static_cast<qint64>(end.output_tokens)) +
-        ",\"total_tokens\":" + QByteArray::number(static_cast<qint64>(end.prompt_tokens + end.output_tokens)) +
+        ",\"total_tokens\":" + QByteArray::number(static_cast<qint64>(total)) +
         ",\"prompt_tokens_details\":{\"cached_tokens\":" + QByteArray::number(static_cast<qint64>(end.cached_tokens)) +
         "}}}";
 }
--- a/src/io/entry_shell.cpp
+++ b/src/io/entry_shell.cpp
@@ -241,13 +241,15 @@
         {"caller_connections", static_cast<double>(m_callers.open_connections())},
         {"engine_streams", static_cast<double>(m_engines.open_streams())},
         {"peer_connections", static_cast<double>(peers.connections)},
-        {"peer_messages_sent", static_cast<double>(peers.sent)},
-        {"peer_messages_received", static_cast<double>(peers.received)},
-        {"peer_messages_dropped", static_cast<double>(peers.dropped)},
-        {"peer_messages_malformed", static_cast<double>(peers.malformed)},
-        {"peer_bytes_sent", static_cast<double>(peers.bytes_sent)},
-        {"spans_dropped", static_cast<double>(m_traces.dropped())},
     };
+    const std::vector<std::pair<const char*, std::uint64_t>> counters{
+        {"peer_messages_sent", peers.sent},       {"peer_messages_received", peers.received},
+        {"peer_messages_dropped", peers.dropped}, {"peer_messages_malformed", peers.malformed},
+        {"peer_bytes_sent", peers.bytes_sent},    {"spans_dropped", m_traces.dropped()},
+    };
+    for (const auto& [name, value] : counters) {
+        m_metrics.set_counter(name, static_cast<std::int64_t>(value));
+    }
     for (const auto& [name, value] : gauges) {
         m_metrics.set_gauge(name, value);
     }
--- a/src/io/message_codec.cpp
+++ b/src/io/message_codec.cpp
@@ -564,10 +564,14 @@
                 auto [attempt, server, reservation] = fields(from.part_answer());
                 return part_answer{attempt, server, reservation, from.part_answer().granted()};
             }
-            case wire::Envelope::kConfirmPart:
-                return std::make_from_tuple<confirm_part>(fields(from.confirm_part()));
-            case wire::Envelope::kReleasePart:
-                return std::make_from_tuple<release_part>(fields(from.release_part()));
+            case wire::Envelope::kConfirmPart: {
+                auto [attempt, server, reservation] = fields(from.confirm_part());
+                return confirm_part{attempt, server, reservation};
+            }
+            case wire::Envelope::kReleasePart: {
+                auto [attempt, server, reservation] = fields(from.release_part());
+                return release_part{attempt, server, reservation};
+            }
             default:
                 return std::nullopt;
         }
--- a/src/io/metrics.cpp
+++ b/src/io/metrics.cpp
@@ -61,6 +61,10 @@
     found->second += amount;
 }
 
+void metrics::set_counter(std::string_view name, std::int64_t value) {
+    m_counters[std::string(name)] = value;
+}
+
 void metrics::set_gauge(std::string_view name, double value) {
     m_gauges[std::string(name)] = value;
 }
--- a/src/io/metrics.hpp
+++ b/src/io/metrics.hpp
@@ -23,6 +23,8 @@
 
     // Adds to a counter; names are without prefix, as in "requests_refused".
     void add(std::string_view name, std::int64_t amount = 1);
+    // Sets a counter that is kept elsewhere.
+    void set_counter(std::string_view name, std::int64_t value);
     void set_gauge(std::string_view name, double value);
     // Adds a sample to a distribution.
     void observe(std::string_view name, double sample);
