--- a/src/standins/fleet.cpp
+++ b/src/standins/fleet.cpp
@@ -1,5 +1,6 @@
 #include "fleet.hpp"
 
+#include <QCryptographicHash>
 #include <QJsonArray>
 
 #include <csignal>
@@ -40,7 +41,7 @@
         case member_kind::entry:
             return {{"caller-listen", "caller"}, {"peer-listen", "peer"}};
         case member_kind::control:
-            return {{"operator-listen", "operator"}};
+            return {{"operator-address", "operator"}};
         case member_kind::engine:
         case member_kind::service:
             break;
@@ -103,7 +104,8 @@
                   << "http://" + text(m_platform_address);
     }
     if (of.kind == member_kind::control) {
-        arguments << "--operator-key" << fleet_operator_key;
+        arguments << "--operator-key-sha256"
+                  << QCryptographicHash::hash(fleet_operator_key, QCryptographicHash::Sha256).toHex();
     }
     for (const auto& [flag, name] : listeners_of(of.kind)) {
         const auto known = of.listeners.find(flag);
@@ -121,7 +123,7 @@
     to.address = to.listeners[listeners_of(to.kind).front().first];
 }
 
-void fleet::start(member_kind kind, const member_plan& plan) {
+void fleet::start_unregistered(member_kind kind, const member_plan& plan) {
     member& added = m_members[plan.host];
     added.kind = kind;
     added.plan = plan;
@@ -130,8 +132,12 @@
         const std::string& target = is_backend(kind) ? added.address : added.listeners["peer-listen"];
         m_proxied[plan.host] = add_proxy(plan.host, target);
     }
+}
+
+void fleet::start(member_kind kind, const member_plan& plan) {
+    start_unregistered(kind, plan);
     if (kind != member_kind::control) {
-        register_host(added, "live");
+        register_host(find(plan.host), "live");
     }
 }
 
