--- a/src/io/engine_client.cpp
+++ b/src/io/engine_client.cpp
@@ -7,6 +7,8 @@
 
 #include <optional>
 
+#include "trace_context.hpp"
+
 namespace verbenahold {
 
 namespace {
@@ -69,6 +71,11 @@
     }
 }
 
+// Polls expect 200 only; any other status can't be understood as a report.
+backend_failure poll_failure_of(const http_answer& answer) {
+    return answer.failure == http_failure::none ? backend_failure::bad_answer : failure_of(answer);
+}
+
 std::string message_of(const http_answer& answer) {
     const QJsonObject error = QJsonDocument::fromJson(answer.body).object().value("error").toObject();
     return text_of(error.value("message"));
@@ -120,6 +127,11 @@
 engine_client::engine_client(http_client& client, event_sink sink, QObject* parent)
     : QObject(parent), m_client(client), m_sink(std::move(sink)) {}
 
+void engine_client::set_span_sink(std::function<void(const span_ended&)> sink, std::uint64_t seed) {
+    m_on_span = std::move(sink);
+    m_random.seed(seed);
+}
+
 void engine_client::set_addresses(std::map<server_name, endpoint> addresses) {
     m_addresses = std::move(addresses);
 }
@@ -156,12 +168,14 @@
         {"generated", generated},         {"max_tokens", static_cast<qint64>(command.max_tokens)},
         {"priority", command.priority},   {"parts", parts}};
     http_call call = json_call("POST", server_url(command.address, "/v1/streams"), body);
-    if (!command.traceparent.empty()) {
-        call.headers.emplace_back("traceparent", QByteArray::fromStdString(command.traceparent));
-    }
-    call.timeout = silence_limit;
     const stream_key key{command.server, command.stream};
-    m_streams[key].next_index = command.generated.size();
+    running_stream& stream = m_streams[key];
+    stream.next_index = command.generated.size();
+    stream.parent = command.traceparent;
+    stream.traceparent = make_child_traceparent(command.traceparent, m_random);
+    stream.started = std::chrono::steady_clock::now();
+    call.headers.emplace_back("traceparent", QByteArray::fromStdString(stream.traceparent));
+    call.timeout = silence_limit;
     read_stream(key, command.address, call);
 }
 
@@ -175,7 +189,8 @@
     if (found != m_streams.end()) {
         m_client.cancel(found->second.call);
     }
-    m_streams[key] = {0, command.from_index, false};
+    m_streams[key].next_index = command.from_index;
+    m_streams[key].opened = false;
     read_stream(key, command.address, call);
 }
 
@@ -214,6 +229,7 @@
     const QJsonObject json = QJsonDocument::fromJson(data).object();
     if (json.value("done").toBool()) {
         m_client.cancel(found->second.call);
+        end_span(found->second, true);
         m_streams.erase(found);
         m_sink(stream_finished{key.first, key.second, static_cast<std::uint64_t>(json.value("count").toInteger()),
                                json.value("cached").toInteger(), text_of(json.value("finish"))});
@@ -248,8 +264,18 @@
     fail_stream(key, failure_of(answer), message_of(answer));
 }
 
+void engine_client::end_span(const running_stream& stream, bool ok) {
+    if (m_on_span) {
+        const auto length = std::chrono::steady_clock::now() - stream.started;
+        m_on_span({stream.traceparent, stream.parent, "engine", std::chrono::duration_cast<duration>(length), ok});
+    }
+}
+
 void engine_client::fail_stream(const stream_key& key, backend_failure failure, const std::string& message) {
-    m_streams.erase(key);
+    if (const auto found = m_streams.find(key); found != m_streams.end()) {
+        end_span(found->second, false);
+        m_streams.erase(found);
+    }
     m_sink(stream_failed{key.first, key.second, failure, message});
 }
 
@@ -278,7 +304,7 @@
 
 void engine_client::handle_load(const server_name& server, const endpoint& address, const http_answer& answer) {
     if (!answer.good()) {
-        m_sink(load_failed{server, failure_of(answer)});
+        m_sink(load_failed{server, poll_failure_of(answer)});
         return;
     }
     const QJsonObject json = QJsonDocument::fromJson(answer.body).object();
@@ -336,7 +362,7 @@
         if (listing) {
             m_sink(*std::move(listing));
         } else {
-            m_sink(load_failed{server, answer.good() ? backend_failure::bad_answer : failure_of(answer)});
+            m_sink(load_failed{server, poll_failure_of(answer)});
         }
     });
 }
--- a/src/io/engine_client.hpp
+++ b/src/io/engine_client.hpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <random>
 #include <string>
 #include <utility>
 
@@ -27,6 +28,9 @@
     // `client` must outlive this object.
     engine_client(http_client& client, event_sink sink, QObject* parent = nullptr);
 
+    // Where the spans of the "engine" hop go; `seed` is for their ids.
+    void set_span_sink(std::function<void(const span_ended&)> sink, std::uint64_t seed);
+
     // Where servers are, from the host list: parts of a group are named by
     // server in commands and by URL towards engines.
     void set_addresses(std::map<server_name, endpoint> addresses);
@@ -66,10 +70,17 @@
         // The first index that the reader lacks; where a reopened stream goes on.
         std::uint64_t next_index = 0;
         bool opened = false;
+        std::string traceparent{};
+        std::string parent{};
+        std::chrono::steady_clock::time_point started{};
     };
 
+    void end_span(const running_stream& stream, bool ok);
+
     http_client& m_client;
     event_sink m_sink;
+    std::function<void(const span_ended&)> m_on_span;
+    std::mt19937_64 m_random;
     std::map<server_name, endpoint> m_addresses;
     std::map<stream_key, running_stream> m_streams;
     std::map<server_name, cache_position> m_cache_positions;
--- a/src/io/entry_shell.cpp
+++ b/src/io/entry_shell.cpp
@@ -107,7 +107,9 @@
                  .is_ready = [this] { return m_core && !m_draining && m_core->ready(m_timers.now()); },
                  .metrics_text = [this] { return metrics_text(); },
                  .on_span = [this](const span_ended& span) { m_traces.add(span); }},
-                m_self.incarnation, limits_from(given)) {}
+                m_self.incarnation, limits_from(given)) {
+    m_engines.set_span_sink([this](const span_ended& span) { m_traces.add(span); }, m_self.incarnation + 1);
+}
 
 entry_shell::~entry_shell() = default;
 
