--- a/src/core/gossip_queue.cpp
+++ b/src/core/gossip_queue.cpp
@@ -46,12 +46,20 @@
     return m_budget_bytes > budget_burst_bytes / 4;
 }
 
+bool gossip_queue::has_plenty() const {
+    return m_budget_bytes > budget_burst_bytes / 2;
+}
+
 bool gossip_queue::can_afford(std::size_t bytes) const {
     return m_budget_bytes >= static_cast<double>(bytes);
 }
 
-void gossip_queue::push(const host_name& host) {
+void gossip_queue::drop(const host_name& host) {
     std::erase_if(m_updates, [&](const pending_update& pending) { return pending.host == host; });
+}
+
+void gossip_queue::push(const host_name& host) {
+    drop(host);
     m_updates.push_back({host, 0});
 }
 
--- a/src/core/gossip_queue.hpp
+++ b/src/core/gossip_queue.hpp
@@ -30,9 +30,12 @@
     void spend(std::size_t bytes);
     // True while more than a quarter of a burst is left.
     [[nodiscard]] bool has_reserve() const;
+    // True while more than half of a burst is left.
+    [[nodiscard]] bool has_plenty() const;
 
     // The host's state has news; sent anew to `transmissions` receivers.
     void push(const host_name& host);
+    void drop(const host_name& host);
     void clear_updates();
     // Replaces the strikes; those known before keep their number of sends.
     void set_strikes(std::span<const crash_strike> strikes);
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -102,8 +102,35 @@
     m_round.insert(m_round.begin() + static_cast<std::ptrdiff_t>(place), host);
 }
 
+void membership::learn_member(member_update update, time_point now, std::vector<entry_command>& out) {
+    const bool is_short = update.peer_endpoint.address.empty();
+    if (is_short) {
+        const auto listed = m_candidates.find(update.daemon.host);
+        if (listed == m_candidates.end()) {
+            return;
+        }
+        update.zone = listed->second.zone;
+        update.peer_endpoint = listed->second.peer_endpoint;
+        update.caller_endpoint = listed->second.caller_endpoint;
+    }
+    if (update.state != member_state::dead) {
+        add_member(update, now, out);
+    }
+    if (is_short) {
+        // Others have it from the same list; passing it on as news would hold
+        // up real news while a large deployment starts.
+        m_gossip.drop(update.daemon.host);
+    }
+}
+
 bool membership::must_introduce(const host_name& to) const {
     const std::size_t index = index_of(to);
+    const auto listed = m_candidates.find(to);
+    if (index == no_member && listed != m_candidates.end() && !listed->second.tried) {
+        // Both are probably in the host list; if not, the next probe of that
+        // host carries this daemon's addresses.
+        return false;
+    }
     return index == no_member || !m_peers[index].introduced || m_peers[index].heard == member_state::dead;
 }
 
@@ -206,9 +233,7 @@
     }
     const std::size_t index = index_of(update.daemon.host);
     if (index == no_member) {
-        if (update.state != member_state::dead) {
-            add_member(update, now, out);
-        }
+        learn_member(update, now, out);
         return;
     }
     member& known = m_members[index];
@@ -254,8 +279,8 @@
     const auto listed = m_candidates.find(from.host);
     const bool is_new = index == no_member || m_members[index].daemon.incarnation < from.incarnation;
     if (is_new && listed != m_candidates.end()) {
-        const candidate& host = listed->second;
-        apply_update({from, host.zone, host.peer_endpoint, host.caller_endpoint, member_state::alive, 0}, now, out);
+        // The rest of the update comes from the host list.
+        apply_update({from, {}, {}, {}, member_state::alive, 0}, now, out);
         index = index_of(from.host);
     }
     if (index == no_member || m_members[index].daemon != from) {
@@ -296,20 +321,33 @@
         return {m_settings.self, m_settings.zone, m_settings.peer_endpoint, m_settings.caller_endpoint,
                 state,           m_refutation};
     }
+    member_update update = short_update_of(host);
+    // Who does not know the daemon yet has no use for its suspicion or death.
+    if (update.state == member_state::alive || update.state == member_state::leaving) {
+        const std::size_t index = index_of(host);
+        if (index != no_member) {
+            update.zone = m_members[index].zone;
+            update.peer_endpoint = m_members[index].peer_endpoint;
+            update.caller_endpoint = m_members[index].caller_endpoint;
+        }
+    }
+    return update;
+}
+
+member_update membership::short_update_of(const host_name& host) const {
     const std::size_t index = index_of(host);
     if (index == no_member) {
         return {};
     }
     const member& known = m_members[index];
-    return {known.daemon,          known.zone,           known.peer_endpoint,
-            known.caller_endpoint, m_peers[index].heard, known.refutation};
+    return {known.daemon, {}, {}, {}, m_peers[index].heard, known.refutation};
 }
 
 void membership::append_filler(gossip_payload& gossip, const host_name& to, int count) {
     for (std::size_t looked = 0; count > 0 && looked < m_members.size(); ++looked) {
         const member& next = m_members[m_filler_cursor++ % m_members.size()];
         if (next.state != member_state::dead && next.daemon.host != to &&
-            m_gossip.append(gossip, update_of(next.daemon.host))) {
+            m_gossip.append(gossip, short_update_of(next.daemon.host))) {
             --count;
         }
     }
@@ -329,15 +367,13 @@
     const bool is_accused = index != no_member && (m_peers[index].heard == member_state::suspect ||
                                                    m_peers[index].heard == member_state::dead);
     if (is_accused) {
-        m_gossip.append_required(gossip, update_of(to));
+        m_gossip.append_required(gossip, short_update_of(to));
     }
-    // While joining, the budget is for this daemon's own probes: what it has
-    // just learned is no news to the others.
-    if (!m_joined) {
-        return gossip;
+    if (m_joined) {
+        m_gossip.append_news(gossip, transmissions(), [this](const host_name& host) { return update_of(host); });
     }
-    m_gossip.append_news(gossip, transmissions(), [this](const host_name& host) { return update_of(host); });
-    if (m_gossip.has_reserve()) {
+    const bool has_last_unknown = m_joined && m_has_unknown_hosts;
+    if (has_last_unknown ? m_gossip.has_plenty() : m_gossip.has_reserve()) {
         append_filler(gossip, to, filler);
     }
     return gossip;
@@ -373,7 +409,7 @@
         listed[host.host] = {host.zone, host.peer_endpoint, host.caller_endpoint, is_leaving, tried};
     }
     m_candidates = std::move(listed);
-    m_has_host_list = true;
+    m_has_unknown_hosts = true;
     if (!m_first_list) {
         m_first_list = now;
     }
@@ -403,7 +439,7 @@
     const bool refute = now < m_refute_until || std::ranges::any_of(message.gossip.updates, accuses_self);
     const bool joining = now - m_peers[index].first_known < join_help_time;
     m_gossip.spend(gossip_message_bytes);
-    probe_ack ack{message.sequence, make_gossip(from.host, refute || joining, joining ? join_help_updates : 1)};
+    probe_ack ack{message.sequence, make_gossip(from.host, refute, joining ? join_help_updates : 1)};
     push_message(from, m_members[index].peer_endpoint, std::move(ack), out);
 }
 
--- a/src/core/membership.hpp
+++ b/src/core/membership.hpp
@@ -120,6 +120,7 @@
     [[nodiscard]] std::size_t index_of(const host_name& host) const;
     [[nodiscard]] const endpoint* endpoint_of(const host_name& host) const;
     void add_member(const member_update& update, time_point now, std::vector<entry_command>& out);
+    void learn_member(member_update update, time_point now, std::vector<entry_command>& out);
     void remove_member(std::size_t index);
     [[nodiscard]] bool must_introduce(const host_name& to) const;
     void renew_self();
@@ -133,10 +134,13 @@
     void take_strikes(std::span<const crash_strike> strikes);
 
     [[nodiscard]] member_update update_of(const host_name& host) const;
+    // Without zone and addresses, which the receiver has from its host list.
+    [[nodiscard]] member_update short_update_of(const host_name& host) const;
     [[nodiscard]] int transmissions() const;
     gossip_payload make_gossip(const host_name& to, bool with_self, int filler);
     void append_filler(gossip_payload& gossip, const host_name& to, int count);
 
+    void probe_unknown_hosts(time_point now, std::vector<entry_command>& out);
     void ask_suspect_again(time_point now, std::vector<entry_command>& out);
     void probe_peers(time_point now, std::vector<entry_command>& out);
     void send_probe(const host_name& target, time_point now, std::vector<entry_command>& out);
@@ -159,7 +163,8 @@
     std::unordered_map<host_name, std::size_t> m_index;
     // Entry hosts of the latest host list, also those that are members.
     std::map<host_name, candidate> m_candidates;
-    bool m_has_host_list = false;
+    // Some host of the list is no member and was not probed yet.
+    bool m_has_unknown_hosts = false;
     bool m_joined = false;
     bool m_leave_begun = false;
     bool m_host_leaving = false;
--- a/src/core/membership_probes.cpp
+++ b/src/core/membership_probes.cpp
@@ -18,7 +18,9 @@
 // A tick later than this means that the process was paused, so unanswered
 // probes say nothing of the peers.
 constexpr milliseconds pause_limit{1'000};
-constexpr seconds join_limit{15};
+// At 620 daemons that all start together, a budget of 800 bytes a second needs
+// about this long for the member list.
+constexpr seconds join_limit{30};
 constexpr seconds relay_limit{2};
 
 }  // namespace
@@ -86,13 +88,26 @@
         }
         ask_suspect_again(now, out);
     }
-    if (m_joined || !m_has_host_list) {
-        return;
+    if (m_has_unknown_hosts) {
+        probe_unknown_hosts(now, out);
     }
-    // While joining, every candidate is asked as fast as the budget allows.
+}
+
+// Hosts of the host list that nothing is known of are asked as fast as the
+// budget allows. While joining, the acks to others come first, because six
+// members in an ack cost less than a probe; later the last unknown hosts do.
+void membership::probe_unknown_hosts(time_point now, std::vector<entry_command>& out) {
+    m_has_unknown_hosts = false;
     for (const auto& entry : m_candidates) {
         const host_name& host = entry.first;
-        if (m_gossip.has_reserve() && !entry.second.tried && !is_waited_for(host) && endpoint_of(host) != nullptr) {
+        if (entry.second.tried || m_index.contains(host) || endpoint_of(host) == nullptr) {
+            continue;
+        }
+        m_has_unknown_hosts = true;
+        if (!(m_joined ? m_gossip.has_reserve() : m_gossip.has_plenty())) {
+            return;
+        }
+        if (!is_waited_for(host)) {
             send_probe(host, now, out);
         }
     }
--- a/test/driver/core_driver.hpp
+++ b/test/driver/core_driver.hpp
@@ -59,6 +59,7 @@
                                   duration deadline);
     std::uint64_t send_order(std::size_t number, const std::string& key, duration deadline);
 
+    [[nodiscard]] std::size_t daemons() const { return m_daemons.size(); }
     [[nodiscard]] entry_core::figures figures(std::size_t number) const;
     [[nodiscard]] bool is_running(std::size_t number) const { return m_daemons[number].core != nullptr; }
     // Tickets answered whole, and refused.
