Keep cold servers within their capacity and test the owner side

Cause: the window grew with the first completion, so a server of cold capacity 2 could get 3 requests while still cold; two owners that list at the same time could both use a server of cold capacity 1; and a group's lead could lose its memory to queued work between the release of its part and its submit.

Change: the window stays at half of the cold capacity until twice that many requests are completed at a full window. A server of cold capacity 1 is used only after a claim: a marker reservation, then a listing without another marker or stream. Coldness that returns is also seen when answers stop. Groups start before queued work; parts are adopted after a change of owner and freed when nobody confirms them. Listings correct the KV memory of own streams. Queued work is bounced when no owned server answers.

--- a/src/core/cold_start.cpp
+++ b/src/core/cold_start.cpp
@@ -12,12 +12,17 @@
 
 void cold_start::reset() {
     m_window = std::clamp(m_cold_capacity / 2, 1, m_warm_capacity);
+    m_completions = 0;
     ++m_epoch;
 }
 
 void cold_start::on_completed(std::uint64_t epoch_at_start, int carried) {
     const bool proven = epoch_at_start == m_epoch && carried >= m_window;
-    if (proven && m_window < m_warm_capacity)
+    if (!proven)
+        return;
+    if (is_at_start())
+        ++m_completions;
+    if (!is_at_start() && m_window < m_warm_capacity)
         ++m_window;
 }
 
--- a/src/core/memory_sweep.cpp
+++ b/src/core/memory_sweep.cpp
@@ -59,18 +59,17 @@
         still_there[stream.stream] = seen;
     }
     for (const listed_reservation& held : listing.reservations) {
-        sighting seen = m_sightings[held.reservation];
+        // A reservation belongs to its caller side, whichever owner made it.
         const std::optional<daemon_id> origin = parse_origin(held.reservation);
-        if (origin && !is_known(held.reservation) && is_creator_dead(*origin, members, seen, now))
+        if (origin && !is_known(held.reservation) && members.is_dead_for(*origin, dead_creator_age, now))
             swept.reservations.push_back(held.reservation);
-        still_there[held.reservation] = seen;
     }
     m_sightings = std::move(still_there);
     return swept;
 }
 
 bool memory_sweep::must_cancel(const listed_stream& stream, const membership& members, bool known, sighting& seen,
-                               time_point now) const {
+                               time_point now) {
     if (stream.has_reader)
         seen.without_reader.reset();
     else if (!seen.without_reader)
@@ -82,28 +81,8 @@
     }
     if (*creator == members.self())
         return ++seen.unknown_listings >= unknown_listings_needed;
-    const bool dead = is_creator_dead(*creator, members, seen, now);
+    const bool dead = members.is_dead_for(*creator, dead_creator_age, now);
     return dead && seen.without_reader && now - *seen.without_reader >= no_reader_age;
 }
 
-bool memory_sweep::is_creator_dead(const daemon_id& creator, const membership& members, sighting& seen,
-                                   time_point now) const {
-    const daemon_id& self = members.self();
-    if (creator == self)
-        return false;
-    if (creator.host == self.host && creator.incarnation < self.incarnation)
-        return true;
-    if (members.is_live(creator)) {
-        seen.unknown_creator.reset();
-        return false;
-    }
-    if (members.is_dead_for(creator, dead_creator_age, now))
-        return true;
-    if (members.find(creator) != nullptr)
-        return false;
-    if (!seen.unknown_creator)
-        seen.unknown_creator = now;
-    return now - *seen.unknown_creator >= unknown_creator_age;
-}
-
 }  // namespace verbenahold
--- a/src/core/memory_sweep.hpp
+++ b/src/core/memory_sweep.hpp
@@ -19,9 +19,6 @@
 inline constexpr duration dead_creator_age = std::chrono::seconds(10);
 // How long a stream must have had no reader.
 inline constexpr duration no_reader_age = std::chrono::seconds(5);
-// A creator that membership does not know counts as dead after this time: dead
-// members are forgotten there after a while.
-inline constexpr duration unknown_creator_age = std::chrono::seconds(30);
 
 // The owner incarnation in "host.incarnation.sequence.attempt.owner_host.
 // owner_incarnation"; nothing for ids of another form.
@@ -44,14 +41,12 @@
 private:
     struct sighting {
         std::optional<time_point> without_reader;
-        std::optional<time_point> unknown_creator;
         // Listings in a row in which this daemon did not know its own stream.
         int unknown_listings = 0;
     };
 
-    bool is_creator_dead(const daemon_id& creator, const membership& members, sighting& seen, time_point now) const;
-    bool must_cancel(const listed_stream& stream, const membership& members, bool known, sighting& seen,
-                     time_point now) const;
+    static bool must_cancel(const listed_stream& stream, const membership& members, bool known, sighting& seen,
+                            time_point now);
 
     std::unordered_map<std::string, sighting> m_sightings;
 };
--- a/src/core/owner_events.cpp
+++ b/src/core/owner_events.cpp
@@ -19,12 +19,6 @@
 // Answers of a service needed before its predicted token gap is trusted.
 constexpr int learned_gaps_needed = 8;
 
-void note_alive(attempt_record& record, time_point now) {
-    record.last_heard = now;
-    record.silences = 0;
-    record.opened = true;
-}
-
 }  // namespace
 
 attempt_record* owner_side::state::find_running(const server_name& server, std::string_view stream) {
@@ -40,6 +34,15 @@
     return running ? record : nullptr;
 }
 
+void owner_side::state::note_alive(attempt_record& record, context& ctx) {
+    record.last_heard = ctx.now;
+    record.silences = 0;
+    server_state* server = record.opened ? nullptr : find_server(record.server);
+    record.opened = true;
+    if (server != nullptr)
+        end_claim(*server, ctx);
+}
+
 void owner_side::state::send_listing_request(server_state& server, context& ctx) {
     server.want_listing(ctx.now);
     if (server.take_due_listing(ctx.now))
@@ -73,19 +76,19 @@
 
 void owner_side::on_event(const stream_opened& event, context& ctx) {
     if (attempt_record* record = m_state->find_running(event.server, event.stream))
-        note_alive(*record, ctx.now);
+        m_state->note_alive(*record, ctx);
 }
 
 void owner_side::on_event(const stream_heartbeat& event, context& ctx) {
     if (attempt_record* record = m_state->find_running(event.server, event.stream))
-        note_alive(*record, ctx.now);
+        m_state->note_alive(*record, ctx);
 }
 
 void owner_side::on_event(const stream_tokens& event, context& ctx) {
     attempt_record* record = m_state->find_running(event.server, event.stream);
     if (record == nullptr)
         return;
-    note_alive(*record, ctx.now);
+    m_state->note_alive(*record, ctx);
     m_state->add_tokens(*record, event, ctx);
 }
 
@@ -136,7 +139,7 @@
     attempt_record* record = owner.find_running(event.server, event.stream);
     if (record == nullptr)
         return;
-    note_alive(*record, ctx.now);
+    m_state->note_alive(*record, ctx);
     if (record->next_index() < event.token_count) {
         owner.reopen(*record, ctx);
         return;
@@ -167,6 +170,10 @@
         server->on_refused_work(ctx.now);
     if (server != nullptr && failure == backend_failure::out_of_memory)
         server->on_out_of_memory(ctx.now);
+    // The engine reserves more than was predicted.
+    if (failure == backend_failure::out_of_memory)
+        record.request.predicted_output_tokens =
+            std::max(record.request.predicted_output_tokens, record.request.max_tokens);
     return_to_queue(record, ctx);
     if (server != nullptr && failure == backend_failure::refused)
         server_died(*server, ctx);
@@ -270,6 +277,9 @@
     if (server == nullptr)
         return;
     const bool restarted = server->on_report(event, ctx.now);
+    const service_name& service = server->server().service;
+    if (server->check_stalls(owner.costs.predict_token_gap(service), ctx.now))
+        ctx.out.push_back(log_change{"answers stopped, server treated as cold: " + event.server.value});
     auto& resets = owner.recent_resets[event.server];
     std::erase_if(resets, [&](const auto& item) { return ctx.now - item.first > reset_memory; });
     if (restarted) {
@@ -283,7 +293,7 @@
     if (resets.empty())
         owner.recent_resets.erase(event.server);
     owner.poll_servers(ctx);
-    owner.pump(owner.work_of(server->server().service, ctx), ctx);
+    owner.pump(owner.work_of(service, ctx), ctx);
 }
 
 void owner_side::on_event(const load_failed& event, context& ctx) {
@@ -292,11 +302,12 @@
     if (server == nullptr)
         return;
     server->on_poll_failed(ctx.now);
-    if (event.failure != backend_failure::refused || server->is_dead())
-        return;
-    const service_name service = server->server().service;
-    owner.server_died(*server, ctx);
-    owner.pump(owner.work_of(service, ctx), ctx);
+    state::service_work& work = owner.work_of(server->server().service, ctx);
+    if (event.failure == backend_failure::refused && !server->is_dead())
+        owner.server_died(*server, ctx);
+    else
+        owner.bounce_if_unreachable(work, ctx);
+    owner.pump(work, ctx);
 }
 
 void owner_side::on_event(const stream_listing& event, context& ctx) {
@@ -307,7 +318,23 @@
     const bool restarted = server->on_listing(event, owner.own_suffix, ctx.now);
     owner.check_streams(*server, event, restarted, ctx);
     owner.sweep(*server, event, ctx);
+    if (!server->claim().on_listing(event, owner.self, ctx.now, owner.random))
+        owner.remove_marker(*server, ctx);
     owner.pump(owner.work_of(server->server().service, ctx), ctx);
+    // What the listing shows is true for a moment only.
+    if (server->claim().stands())
+        owner.end_claim(*server, ctx);
+}
+
+void owner_side::state::claim_answered(const memory_reserved& event, context& ctx) {
+    server_state* server = find_server(event.server);
+    if (server == nullptr)
+        return;
+    server->claim().on_answer(event.granted, ctx.now, random);
+    if (server->claim().awaits_listing())
+        send_listing_request(*server, ctx);
+    else if (event.granted)
+        remove_marker(*server, ctx);
 }
 
 // Compares own running streams with what the server really has.
--- a/src/core/owner_parts.cpp
+++ b/src/core/owner_parts.cpp
@@ -11,6 +11,11 @@
 // The engine keeps a confirmed part until it is freed; the sweep frees those
 // whose caller side has died.
 constexpr duration keep_until_freed = duration::zero();
+// Caller sides repeat a confirmation each second; a part without any for this
+// long has lost its caller side's interest or its release.
+constexpr duration confirmation_limit = std::chrono::seconds(10);
+// A listing older than this does not show whether a reservation is there.
+constexpr duration listing_trust = std::chrono::seconds(3);
 
 }  // namespace
 
@@ -41,11 +46,12 @@
     state& owner = *m_state;
     const auto found = owner.parts.find(message.reservation);
     if (found == owner.parts.end()) {
-        // It has expired or its server has died.
-        ctx.members.send(from, part_answer{message.attempt, message.server, message.reservation, false}, ctx.out);
+        if (!owner.adopt_part(from, message, ctx))
+            ctx.members.send(from, part_answer{message.attempt, message.server, message.reservation, false}, ctx.out);
         return;
     }
     state::held_part& part = found->second;
+    part.expires = ctx.now + confirmation_limit;
     if (part.confirmed)
         return;
     part.confirmed = true;
@@ -55,11 +61,65 @@
 }
 
 void owner_side::on_release_part(const daemon_id& /*from*/, const release_part& message, context& ctx) {
-    m_state->release_held(message.reservation, ctx);
+    if (m_state->parts.contains(message.reservation)) {
+        m_state->release_held(message.reservation, ctx);
+        return;
+    }
+    // Reserved through the previous owner of the server.
+    const server_state* server = m_state->find_server(message.server);
+    if (server != nullptr && server->owned())
+        ctx.out.push_back(release_memory{message.server, server->server().address, message.reservation});
+}
+
+// A confirmation of a part that was reserved through the server's previous
+// owner. False when the part is provably gone.
+bool owner_side::state::adopt_part(const daemon_id& from, const confirm_part& message, context& ctx) {
+    server_state* server = find_server(message.server);
+    if (server == nullptr || !server->owned() || server->is_dead())
+        return false;
+    const std::optional<std::int64_t> tokens = server->find_listed(message.reservation);
+    const bool current = ctx.now - server->listed_at() < listing_trust;
+    if (!tokens) {
+        if (!current)
+            send_listing_request(*server, ctx);
+        return !current;
+    }
+    server->hold_part(message.reservation, *tokens);
+    parts[message.reservation] = {{message.attempt, message.server, message.reservation, *tokens, keep_until_freed},
+                                  from,
+                                  ctx.now + confirmation_limit,
+                                  true,
+                                  true,
+                                  std::nullopt};
+    return true;
+}
+
+// The new owner of the server adopts them when they are confirmed there.
+void owner_side::state::forget_parts_of(const server_name& server) {
+    server_state* known = find_server(server);
+    std::erase_if(parts, [&](const auto& item) {
+        // A replacement is confirmed by nobody but this owner.
+        if (item.second.request.server != server || item.second.replaces)
+            return false;
+        if (known != nullptr)
+            known->free_part(item.first);
+        return true;
+    });
+}
+
+// A group whose answer has stopped has lost a part that another owner looks
+// after.
+void owner_side::state::fail_stalled_group(attempt_record& record, context& ctx) {
+    cancel_on_server(record, ctx);
+    fail(record, attempt_failure::part_lost, ran_state::yes, "the answer of the group has stopped", ctx);
 }
 
 void owner_side::on_event(const memory_reserved& event, context& ctx) {
     state& owner = *m_state;
+    if (cold_claim::is_marker(event.reservation)) {
+        owner.claim_answered(event, ctx);
+        return;
+    }
     const auto found = owner.parts.find(event.reservation);
     if (found == owner.parts.end()) {
         // Released or expired meanwhile: the engine must not keep it.
@@ -98,8 +158,9 @@
     if (server == nullptr)
         return;
     server->free_part(reservation);
+    // No dispatch here: the memory of a lead part is for the submit that
+    // follows its release.
     ctx.out.push_back(release_memory{name, server->server().address, reservation});
-    pump(work_of(server->server().service, ctx), ctx);
 }
 
 // Parts on the dead server are gone. Attempts that this owner leads get a
@@ -204,7 +265,7 @@
     for (const auto& [reservation, part] : parts) {
         const daemon_id& origin = part.request.attempt.request.origin;
         const bool dead = origin != self && ctx.members.is_dead_for(origin, duration::zero(), ctx.now);
-        if (dead || (!part.confirmed && ctx.now >= part.expires))
+        if (dead || (!part.replaces && ctx.now >= part.expires))
             ended.push_back(reservation);
     }
     for (const std::string& reservation : ended)
--- a/src/core/owner_side.cpp
+++ b/src/core/owner_side.cpp
@@ -16,6 +16,9 @@
 constexpr duration silence_limit = std::chrono::seconds(2);
 // A lost stream waits this long for the listing that tells why.
 constexpr duration lost_stream_limit = std::chrono::seconds(3);
+// An engine that waits for a lost part of a group sends heartbeats but no
+// tokens; a rebuild of a part takes less than this.
+constexpr duration group_stall_limit = std::chrono::seconds(30);
 // Requests that may queue per request that the servers can run at once. More
 // would wait several run times, and other owners may have room.
 constexpr std::size_t queued_per_slot = 4;
@@ -55,6 +58,7 @@
     const service_name service = known->server().service;
     known->set_lost();
     known->isolated = false;
+    m_state->forget_parts_of(server);
     m_state->list_servers();
     m_state->drop_idle_lost_servers();
     if (!m_state->work_of(service, ctx).servers.empty())
@@ -103,6 +107,8 @@
         return bounce_reason::zone_out;
     if (std::ranges::none_of(work.servers, usable))
         return bounce_reason::not_owner;
+    if (!is_any_reachable(work))
+        return bounce_reason::no_headroom;
     if (!is_feasible(message, message.time_left))
         return bounce_reason::deadline_too_short;
     const bool fits = message.kind == call_kind::plain || std::ranges::any_of(work.servers, [&](const auto* server) {
@@ -150,8 +156,10 @@
         owner.strikes.note_suspect(message.fingerprint, ctx.now);
     attempt_record& record = owner.attempts.insert(from, message, ctx.now);
     state::service_work& work = owner.work_of(message.service, ctx);
-    owner.enqueue(record, ctx);
-    owner.pump(work, ctx);
+    if (!owner.dispatch_group(record, work, ctx)) {
+        owner.enqueue(record, ctx);
+        owner.pump(work, ctx);
+    }
     owner.shed(work, ctx);
     // Shedding may have bounced this attempt, which was then its answer.
     attempt_record* kept = owner.attempts.find(message.attempt);
@@ -241,6 +249,11 @@
             fail_running(*record, strikes.strikes(record->request.fingerprint, ctx.now), ctx);
             continue;
         }
+        const bool stopped = record->has_tokens && ctx.now - record->last_token >= group_stall_limit;
+        if (!record->request.parts.empty() && stopped) {
+            fail_stalled_group(*record, ctx);
+            continue;
+        }
         if (!record->lost_since && ctx.now - record->last_heard >= silence_limit)
             connection_lost(*record, ctx);
     }
--- a/src/core/owner_state.cpp
+++ b/src/core/owner_state.cpp
@@ -45,7 +45,7 @@
 }  // namespace
 
 owner_side::state::state(entry_settings given_settings, std::uint64_t given_seed)
-    : self(std::move(given_settings.self)), own_suffix('.' + to_string(self)), seed(given_seed) {}
+    : self(std::move(given_settings.self)), own_suffix('.' + to_string(self)), seed(given_seed), random(given_seed) {}
 
 // ---- servers
 
@@ -97,6 +97,22 @@
     server.on_death(ctx.now);
     attempts_died({server.running().begin(), server.running().end()}, ctx);
     part_server_died(server.server().name, ctx);
+    bounce_if_unreachable(work_of(server.server().service, ctx), ctx);
+}
+
+bool owner_side::state::is_any_reachable(const service_work& work) {
+    return std::ranges::any_of(work.servers, [](const server_state* server) { return server->is_reachable(); });
+}
+
+// Without a server that answers, queued work may still run at another owner.
+void owner_side::state::bounce_if_unreachable(const service_work& work, context& ctx) {
+    if (is_any_reachable(work))
+        return;
+    for (const attempt_id& attempt : attempts.list_live()) {
+        attempt_record* record = attempts.find(attempt);
+        if (record->phase == attempt_phase::queued && record->request.service == work.name)
+            bounce_record(*record, bounce_reason::no_headroom, ctx);
+    }
 }
 
 void owner_side::state::attempts_died(std::vector<attempt_record*> lost, context& ctx) {
@@ -237,16 +253,27 @@
     const bool fair = work.policy == placement_policy::headroom;
     while (fair ? pump_fair(work, ctx) : pump_plain(work, ctx)) {
     }
-    list_before_dispatch(work, ctx);
+    claim_before_dispatch(work, ctx);
 }
 
-// Asks servers of cold capacity 1 what runs on them when work waits.
-void owner_side::state::list_before_dispatch(service_work& work, context& ctx) {
+// Claims servers of cold capacity 1 when work waits.
+void owner_side::state::claim_before_dispatch(service_work& work, context& ctx) {
     if (std::ranges::all_of(work.queues, &work_queue::empty))
         return;
     for (server_state* server : work.servers)
-        if (server->is_usable(ctx.now) && server->running().empty() && server->must_list_first(ctx.now))
-            send_listing_request(*server, ctx);
+        if (server->is_usable(ctx.now) && server->running().empty() && server->must_claim_first() &&
+            server->claim().take_due(ctx.now))
+            ctx.out.push_back(reserve_memory{server->server().name, server->server().address,
+                                             cold_claim::marker_of(self), 1, claim_expiry});
+}
+
+void owner_side::state::end_claim(server_state& server, context& ctx) {
+    if (server.claim().end(ctx.now))
+        remove_marker(server, ctx);
+}
+
+void owner_side::state::remove_marker(const server_state& server, context& ctx) {
+    ctx.out.push_back(release_memory{server.server().name, server.server().address, cold_claim::marker_of(self)});
 }
 
 // Starts one request; false when none can start.
@@ -340,7 +367,7 @@
         return false;
     chosen->isolated = true;
     const bool fits = record.request.kind == call_kind::plain || chosen->free_kv() >= needed_kv(record.request);
-    if (chosen->in_flight() > 0 || chosen->must_list_first(ctx.now) || !fits)
+    if (chosen->in_flight() > 0 || chosen->must_claim_first() || !fits)
         return false;
     queue.take();
     --queued_count;
@@ -364,6 +391,7 @@
     record.phase = attempt_phase::running;
     record.server = server.server().name;
     record.silences = 0;
+    record.opened = false;
     record.lost_since.reset();
     server.start(record, ctx.now);
     if (request.length == length_class::short_prompt)
@@ -381,6 +409,19 @@
                                   priority_of(request.length, work.policy), request.parts, request.traceparent});
 }
 
+// The memory of a group is already reserved, so its lead does not wait behind
+// other work.
+bool owner_side::state::dispatch_group(attempt_record& record, service_work& work, context& ctx) {
+    if (record.request.parts.empty())
+        return false;
+    server_state* lead = record.request.preferred_server ? find_server(*record.request.preferred_server) : nullptr;
+    const server_query query{record.request, false, false, 1, ctx.now};
+    if (lead == nullptr || !is_server_in(*lead, ctx) || !can_carry(*lead, query))
+        return false;
+    dispatch(record, *lead, work, ctx);
+    return true;
+}
+
 // The server ran nothing: the attempt waits again, for this or another server.
 void owner_side::state::return_to_queue(attempt_record& record, context& ctx) {
     leave_server(record, ctx);
@@ -406,6 +447,7 @@
     if (server == nullptr)
         return;
     server->end(record, ctx.now);
+    end_claim(*server, ctx);
     if (record.alone)
         server->isolated = false;
 }
--- a/src/core/owner_state.hpp
+++ b/src/core/owner_state.hpp
@@ -14,6 +14,7 @@
 #include <array>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -62,6 +63,8 @@
     void drop_idle_lost_servers();
     // The server is gone with all that ran there.
     void server_died(server_state& server, context& ctx);
+    [[nodiscard]] static bool is_any_reachable(const service_work& work);
+    void bounce_if_unreachable(const service_work& work, context& ctx);
     // Strikes the fingerprints of these attempts and fails them.
     void attempts_died(std::vector<attempt_record*> lost, context& ctx);
     void fail_running(attempt_record& record, std::uint8_t strikes, context& ctx);
@@ -77,8 +80,12 @@
     bool pump_suspects(service_work& work, context& ctx);
     bool fail_if_infeasible(attempt_record& record, service_work& work, context& ctx);
     void dispatch(attempt_record& record, server_state& server, service_work& work, context& ctx);
+    bool dispatch_group(attempt_record& record, service_work& work, context& ctx);
     void return_to_queue(attempt_record& record, context& ctx);
-    void list_before_dispatch(service_work& work, context& ctx);
+    void claim_before_dispatch(service_work& work, context& ctx);
+    void end_claim(server_state& server, context& ctx);
+    void remove_marker(const server_state& server, context& ctx);
+    void claim_answered(const memory_reserved& event, context& ctx);
     std::optional<bounce_reason> find_bounce_reason(const submit& message, context& ctx);
     void shed(service_work& work, context& ctx);
     void bounce_queued(bounce_reason reason, context& ctx);
@@ -102,6 +109,8 @@
     void reopen(attempt_record& record, context& ctx);
     void connection_lost(attempt_record& record, context& ctx);
     void stream_refused(attempt_record& record, backend_failure failure, context& ctx);
+    // The first sign of a stream makes a claim unnecessary.
+    void note_alive(attempt_record& record, context& ctx);
     void check_streams(server_state& server, const stream_listing& event, bool restarted, context& ctx);
     void sweep(const server_state& server, const stream_listing& event, context& ctx);
     void send_listing_request(server_state& server, context& ctx);
@@ -117,6 +126,9 @@
     void replacement_answered(const memory_reserved& event, context& ctx);
     void release_replacements(const attempt_record& record, context& ctx);
     void expire_parts(context& ctx);
+    void forget_parts_of(const server_name& server);
+    bool adopt_part(const daemon_id& from, const confirm_part& message, context& ctx);
+    void fail_stalled_group(attempt_record& record, context& ctx);
 
     // ---- time (owner_side.cpp)
     void poll_servers(context& ctx);
@@ -129,6 +141,7 @@
     daemon_id self;
     std::string own_suffix;
     std::uint64_t seed;
+    std::mt19937_64 random;
     bool draining = false;
     std::uint64_t summary_sequence = 0;
     std::size_t queued_count = 0;
--- a/src/core/server_choice.cpp
+++ b/src/core/server_choice.cpp
@@ -46,7 +46,7 @@
 }  // namespace
 
 bool can_carry(const server_state& server, const server_query& query) {
-    if (server.free_slots(query.now) <= 0 || server.must_list_first(query.now))
+    if (server.free_slots(query.now) <= 0 || server.must_claim_first())
         return false;
     return query.request.kind == call_kind::plain || server.free_kv() >= needed_kv(query.request);
 }
@@ -54,6 +54,9 @@
 bool can_take(const server_state& server, const server_query& query) {
     if (!can_carry(server, query))
         return false;
+    // A group's parts fit the lead that it was reserved with, and no other.
+    if (!query.request.parts.empty())
+        return query.request.preferred_server == server.server().name;
     if (query.request.kind == call_kind::plain)
         return true;
     if (query.request.length >= length_class::long_prompt)
--- a/src/core/server_state.cpp
+++ b/src/core/server_state.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <unordered_map>
 #include <utility>
 
 namespace verbenahold {
@@ -14,6 +15,14 @@
 constexpr int gap_samples_needed = 8;
 // A server slower than a third of the predicted speed is taken as cold.
 constexpr double cold_slowdown = 3;
+// An answer without a token for this long, and for several predicted gaps, has
+// stopped.
+constexpr duration stall_limit = std::chrono::milliseconds(500);
+// Load reports further apart than this mean that this daemon itself was
+// paused, and then answers only seem to have stopped.
+constexpr duration on_time_limit = 2 * load_poll_interval;
+// Stopped answers that show a cold server; a single one may wait for memory.
+constexpr int stalls_needed = 2;
 // A server that stays slow is reset at most this often.
 constexpr duration slow_reset_interval = std::chrono::seconds(2);
 
@@ -82,7 +91,8 @@
     if (request.length == length_class::short_prompt)
         ++m_short_running;
     record.carried_at_start = in_flight();
-    m_clear_listing_at.reset();
+    if (m_claim.stands())
+        m_claim.on_dispatch();
     note_own_count(now);
 }
 
@@ -125,6 +135,7 @@
         m_kv_capacity = report.kv_capacity_tokens;
     m_reported_foreign = std::max(0, report.running + report.queued - recent_own_peak(now));
     m_failed_polls = 0;
+    m_previous_report_at = std::exchange(m_reported_at, now);
     if (m_dead)
         want_listing(now);
     m_dead = false;
@@ -138,18 +149,25 @@
     note_incarnation(listing.incarnation, changed, now);
     m_listed_foreign = 0;
     m_listed_foreign_kv = 0;
+    std::unordered_map<std::string_view, std::int64_t> own_kv;
     for (const listed_stream& stream : listing.streams) {
-        if (std::string_view(stream.stream).ends_with(own_suffix))
+        if (std::string_view(stream.stream).ends_with(own_suffix)) {
+            own_kv[stream.stream] = stream.kv_tokens;
             continue;
+        }
         ++m_listed_foreign;
         m_listed_foreign_kv += stream.kv_tokens;
     }
-    for (const listed_reservation& reservation : listing.reservations)
+    // The engine may hold more for a stream than was predicted.
+    for (attempt_record* record : m_running)
+        if (const auto held = own_kv.find(record->stream); held != own_kv.end())
+            raise_kv(*record, held->second);
+    m_listed_reservations.clear();
+    for (const listed_reservation& reservation : listing.reservations) {
+        m_listed_reservations[reservation.reservation] = reservation.tokens;
         if (!m_parts.contains(reservation.reservation))
             m_listed_foreign_kv += reservation.tokens;
-    m_clear_listing_at.reset();
-    if (m_listed_foreign == 0)
-        m_clear_listing_at = now;
+    }
     m_unexplained_kv = 0;
     m_listed_at = now;
     m_listing_wanted = false;
@@ -159,6 +177,46 @@
     return changed;
 }
 
+void server_state::raise_kv(attempt_record& record, std::int64_t tokens) {
+    const std::int64_t more = tokens - record.kv_tokens;
+    if (more <= 0)
+        return;
+    record.kv_tokens += more;
+    m_own_kv += more;
+    if (is_long(record))
+        m_long_kv += more;
+}
+
+void server_state::hold_part(const std::string& reservation, std::int64_t tokens) {
+    m_parts[reservation] = tokens;
+    // From now on it is counted as held here.
+    if (const auto listed = find_listed(reservation))
+        m_listed_foreign_kv = std::max<std::int64_t>(0, m_listed_foreign_kv - *listed);
+}
+
+std::optional<std::int64_t> server_state::find_listed(const std::string& reservation) const {
+    const auto found = m_listed_reservations.find(reservation);
+    return found == m_listed_reservations.end() ? std::nullopt : std::optional(found->second);
+}
+
+bool server_state::check_stalls(duration predicted_gap, time_point now) {
+    if (m_window.is_at_start() || now - m_previous_report_at > on_time_limit)
+        return false;
+    const duration limit = stall_limit + static_cast<int>(cold_slowdown) * predicted_gap;
+    int decoding = 0;
+    int stalled = 0;
+    for (const attempt_record* record : m_running) {
+        if (!record->has_tokens)
+            continue;
+        ++decoding;
+        stalled += now - record->last_token > limit ? 1 : 0;
+    }
+    if (stalled < stalls_needed || 2 * stalled < decoding)
+        return false;
+    m_window.reset();
+    return true;
+}
+
 void server_state::on_poll_failed(time_point now) {
     ++m_failed_polls;
     m_next_poll = now + load_poll_interval;
@@ -190,7 +248,7 @@
     m_foreign_known = false;
     m_unexplained_kv = 0;
     m_gap_samples = 0;
-    m_clear_listing_at.reset();
+    m_claim.end(now);
     m_ready_at = std::max(m_ready_at, now + death_pause);
     m_next_poll = std::min(m_next_poll, now + load_poll_interval);
 }
@@ -240,12 +298,11 @@
            now >= m_ready_at;
 }
 
-bool server_state::must_list_first(time_point now) const {
+bool server_state::must_claim_first() const {
     if (!m_window.must_list_first())
         return false;
-    if (!m_model)
-        return m_reported_foreign > 0;
-    return !m_clear_listing_at || now > *m_clear_listing_at + clear_listing_time;
+    // Plain services list nothing; what they report is all there is.
+    return m_model ? !m_claim.stands() : m_reported_foreign > 0;
 }
 
 int server_state::in_flight() const {
--- a/src/core/server_state.hpp
+++ b/src/core/server_state.hpp
@@ -5,6 +5,7 @@
 
 #include "attempt_record.hpp"
 #include "backend_server.hpp"
+#include "cold_claim.hpp"
 #include "cold_start.hpp"
 
 #include "verbenahold/events.hpp"
@@ -43,8 +44,6 @@
 // work is sent there: about two medium prompts, so that a short prompt that
 // has to wait for them keeps its time to first token.
 inline constexpr std::int64_t prefill_budget_tokens = 65'536;
-// A listing proves that a server of cold capacity 1 is empty only this long.
-inline constexpr duration clear_listing_time = std::chrono::milliseconds(100);
 // Load reports lag by up to about this much; own work that ran within it may
 // still show in a report and is not taken for foreign work.
 inline constexpr duration report_lag_limit = std::chrono::seconds(2);
@@ -81,14 +80,20 @@
     [[nodiscard]] const std::unordered_set<attempt_record*>& running() const { return m_running; }
 
     // KV memory reserved for very long prompts of other lead servers.
-    void hold_part(const std::string& reservation, std::int64_t tokens) { m_parts[reservation] = tokens; }
+    void hold_part(const std::string& reservation, std::int64_t tokens);
     void free_part(const std::string& reservation) { m_parts.erase(reservation); }
     [[nodiscard]] const std::map<std::string, std::int64_t>& parts() const { return m_parts; }
+    // Tokens of a reservation in the last listing, if it was there.
+    [[nodiscard]] std::optional<std::int64_t> find_listed(const std::string& reservation) const;
+    [[nodiscard]] time_point listed_at() const { return m_listed_at; }
 
     // What the server says of itself. True when it is a new incarnation or
     // model version, which is cold.
     bool on_report(const load_report& report, time_point now);
     bool on_listing(const stream_listing& listing, std::string_view own_suffix, time_point now);
+    // Looks for running answers that have stopped. True when they show that
+    // the server has become cold; to be called at each load report.
+    bool check_stalls(duration predicted_gap, time_point now);
     void on_poll_failed(time_point now);
 
     // What goes wrong.
@@ -111,7 +116,11 @@
 
     // Whether new work may go there at all.
     [[nodiscard]] bool is_usable(time_point now) const;
-    [[nodiscard]] bool must_list_first(time_point now) const;
+    // False while the server is dead or does not answer polls.
+    [[nodiscard]] bool is_reachable() const { return !m_dead && m_failed_polls < failed_polls_limit; }
+    // A server that carries only one request cold is used after a claim.
+    [[nodiscard]] bool must_claim_first() const;
+    [[nodiscard]] cold_claim& claim() { return m_claim; }
     [[nodiscard]] int in_flight() const;
     [[nodiscard]] int foreign() const;
     [[nodiscard]] int free_slots(time_point now) const;
@@ -133,6 +142,7 @@
     void note_incarnation(std::uint64_t incarnation, bool& changed, time_point now);
     [[nodiscard]] int recent_own_peak(time_point now) const;
     void note_own_count(time_point now);
+    void raise_kv(attempt_record& record, std::int64_t tokens);
 
     backend_server m_server;
     bool m_owned = true;
@@ -166,7 +176,7 @@
     std::int64_t m_kv_capacity = 0;
     // Memory that the accounting does not explain, after an out_of_memory.
     std::int64_t m_unexplained_kv = 0;
-    std::optional<time_point> m_clear_listing_at;
+    cold_claim m_claim;
     bool m_listing_wanted = false;
 
     time_point m_next_poll{};
@@ -175,6 +185,9 @@
     bool m_listing_outstanding = false;
     time_point m_listing_asked_at{};
     time_point m_listed_at{};
+    std::map<std::string, std::int64_t> m_listed_reservations;
+    time_point m_reported_at{};
+    time_point m_previous_report_at{};
 
     // Moving average of token gaps, in seconds.
     double m_gap_seconds = 0;
--- /dev/null
+++ b/test/correctness/core_owner_isolation.cpp
@@ -0,0 +1,74 @@
+// Guards short work against long work and long work against starvation.
+#include "owner_bench.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <iostream>
+
+using namespace verbenahold;
+
+namespace {
+
+constexpr std::int64_t long_tokens = 90'000;
+
+int count_running(const owner_bench& bench, const std::vector<submit>& messages) {
+    return static_cast<int>(
+        std::ranges::count_if(messages, [&](const submit& message) { return !bench.server_of(message).empty(); }));
+}
+
+}  // namespace
+
+TEST_CASE("long work leaves room while short work is present") {
+    owner_bench bench(16);
+    bench.add_server("s1");
+    const submit first = bench.send(bench.make_submit());
+    std::vector<submit> longs;
+    for (int i = 0; i < 6; ++i)
+        longs.push_back(bench.send(bench.make_submit(long_tokens)));
+    // One long prefill at a time.
+    CHECK(count_running(bench, longs) == 1);
+    // A short request starts at once, with a higher engine priority.
+    const submit second = bench.send(bench.make_submit());
+    CHECK(bench.server_of(second) == "s1");
+    const auto opened = bench.all<open_stream>();
+    CHECK(opened[1].priority == priority_long);
+    CHECK(opened[2].priority == priority_short);
+    std::cout << "one long prefill beside short work: passed\n";
+}
+
+TEST_CASE("long work takes the whole server when no short work is present") {
+    owner_bench bench(16);
+    bench.add_server("s1");
+    std::vector<submit> longs;
+    for (int i = 0; i < 6; ++i)
+        longs.push_back(bench.send(bench.make_submit(long_tokens)));
+    // 400,000 tokens of KV memory hold four of them.
+    CHECK(count_running(bench, longs) == 4);
+    std::cout << "long work alone: passed\n";
+}
+
+TEST_CASE("long work is not starved by endless short work") {
+    owner_bench bench(8);
+    bench.add_server("s1");
+    std::vector<submit> shorts;
+    for (int i = 0; i < 10; ++i)
+        shorts.push_back(bench.send(bench.make_submit()));
+    // Above the long share of 200,000 tokens.
+    const submit long_one = bench.send(bench.make_submit(250'000));
+    for (int i = 0; i < 60 && bench.server_of(long_one).empty(); ++i) {
+        // Each short request that ends is followed by another.
+        for (submit& message : shorts)
+            if (!bench.server_of(message).empty()) {
+                bench.finish(message);
+                message = bench.send(bench.make_submit());
+                break;
+            }
+        for (const submit& message : shorts)
+            bench.feed(stream_heartbeat{server_name("s1"), bench.stream_of(message)});
+        bench.run_for(std::chrono::milliseconds(100));
+        bench.report("s1", 1);
+    }
+    CHECK(bench.server_of(long_one) == "s1");
+    CHECK(bench.now < time_point{std::chrono::seconds(1'007)});
+    std::cout << "long work ages: passed\n";
+}
--- a/test/correctness/owner_bench.hpp
+++ b/test/correctness/owner_bench.hpp
@@ -17,8 +17,9 @@
 
 class owner_bench {
 public:
-    explicit owner_bench(int cold_capacity = 8, std::string policy = "headroom")
-        : m_settings{{host_name("entry-1"), 42}, zone_name("a"), endpoint{"127.0.0.1:1"}, endpoint{}, 1},
+    explicit owner_bench(int cold_capacity = 8, const std::string& policy = "headroom",
+                         const std::string& host = "entry-1")
+        : m_settings{{host_name(host), 42}, zone_name("a"), endpoint{"127.0.0.1:1"}, endpoint{}, 1},
           members(m_settings, 1),
           owner(m_settings, 1),
           config(make_config(cold_capacity, policy)) {}
@@ -68,7 +69,7 @@
         owner.on_event(event, context);
     }
 
-    // Advances in steps of at most 50 ms, with a heartbeat of each stream.
+    // Advances in steps of at most 50 ms; servers answer no polls meanwhile.
     void run_for(duration length) {
         const time_point end = now + length;
         while (now < end) {
@@ -110,7 +111,7 @@
     }
 
     [[nodiscard]] std::string stream_of(const submit& message) const {
-        return to_string(message.attempt) + ".entry-1.42";
+        return to_string(message.attempt) + '.' + to_string(m_settings.self);
     }
 
     // The server that the last open_stream of the attempt went to.
@@ -130,6 +131,13 @@
         feed(stream_finished{server, stream_of(message), message.generated.size() + count, 0, "stop"});
     }
 
+    // Completes so many requests one after the other that the servers are warm.
+    void warm_up(int requests) {
+        for (int i = 0; i < requests; ++i)
+            finish(send(make_submit()));
+        out.clear();
+    }
+
     void fail(const submit& message, backend_failure failure) {
         feed(stream_failed{server_name(server_of(message)), stream_of(message), failure, ""});
     }
--- /dev/null
+++ b/test/error/core_owner_parts.cpp
@@ -0,0 +1,109 @@
+// Guards the memory of very long prompts: a part that nobody confirms must be
+// freed, and a part that dies must be replaced or end the attempt.
+#include "../correctness/owner_bench.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <iostream>
+
+using namespace verbenahold;
+
+namespace {
+
+const daemon_id self{host_name("entry-1"), 42};
+
+reserve_part make_part(const submit& message, const std::string& server, std::int64_t tokens) {
+    return {message.attempt, server_name(server), to_string(message.attempt) + "." + server, tokens,
+            std::chrono::seconds(5)};
+}
+
+void reserve(owner_bench& bench, const reserve_part& part) {
+    auto context = bench.ctx();
+    bench.owner.on_reserve_part(self, part, context);
+}
+
+// A running attempt led by s1 with a confirmed part on s2.
+submit start_group(owner_bench& bench) {
+    submit message = bench.make_submit(600'000);
+    const reserve_part part = make_part(message, "s2", 300'000);
+    reserve(bench, part);
+    bench.feed(memory_reserved{part.server, part.reservation, true});
+    auto context = bench.ctx();
+    bench.owner.on_confirm_part(self, {part.attempt, part.server, part.reservation}, context);
+    message.preferred_server = server_name("s1");
+    message.parts = {{part.server, part.reservation, part.tokens}};
+    return bench.send(message);
+}
+
+}  // namespace
+
+TEST_CASE("a part that is not confirmed in time is released") {
+    owner_bench bench;
+    bench.add_server("s1");
+    const submit message = bench.make_submit(600'000);
+    const reserve_part part = make_part(message, "s1", 300'000);
+    reserve(bench, part);
+    REQUIRE(bench.all<reserve_memory>().size() == 1);
+    bench.feed(memory_reserved{part.server, part.reservation, true});
+    REQUIRE(bench.answers<part_answer>(message).size() == 1);
+    CHECK(bench.answers<part_answer>(message)[0].granted);
+    // The memory is taken: a second part of this size does not fit.
+    const submit other = bench.make_submit(600'000);
+    reserve(bench, make_part(other, "s1", 300'000));
+    REQUIRE(bench.answers<part_answer>(other).size() == 1);
+    CHECK(!bench.answers<part_answer>(other)[0].granted);
+
+    bench.run_for(std::chrono::milliseconds(5'200));
+    REQUIRE(bench.all<release_memory>().size() == 1);
+    auto context = bench.ctx();
+    bench.owner.on_confirm_part(self, {part.attempt, part.server, part.reservation}, context);
+    bench.list("s1", {});
+    bench.owner.on_confirm_part(self, {part.attempt, part.server, part.reservation}, context);
+    CHECK(!bench.answers<part_answer>(message).back().granted);
+    std::cout << "part expiry: passed\n";
+}
+
+TEST_CASE("a confirmed part survives its first expiry and is freed by its release") {
+    owner_bench bench;
+    bench.add_server("s1");
+    bench.add_server("s2");
+    const submit message = start_group(bench);
+    CHECK(bench.server_of(message) == "s1");
+    CHECK(bench.all<reserve_memory>().back().expires_in == duration::zero());
+    bench.run_for(std::chrono::milliseconds(1'900));
+    CHECK(bench.all<release_memory>().empty());
+    auto context = bench.ctx();
+    const memory_part& part = message.parts[0];
+    bench.owner.on_release_part(self, {message.attempt, part.server, part.reservation}, context);
+    CHECK(bench.all<release_memory>().size() == 1);
+    std::cout << "confirmed part: passed\n";
+}
+
+TEST_CASE("a dead part is replaced on another owned server") {
+    owner_bench bench;
+    for (const char* server : {"s1", "s2", "s3"})
+        bench.add_server(server);
+    const submit message = start_group(bench);
+    bench.feed(load_failed{server_name("s2"), backend_failure::refused});
+    const reserve_memory asked = bench.all<reserve_memory>().back();
+    REQUIRE(asked.server == server_name("s3"));
+    bench.feed(memory_reserved{asked.server, asked.reservation, true});
+    REQUIRE(bench.all<replace_part>().size() == 1);
+    CHECK(bench.all<replace_part>()[0].lost_server == server_name("s2"));
+    CHECK(bench.all<replace_part>()[0].replacement == memory_part{asked.server, asked.reservation, 300'000});
+    bench.finish(message);
+    CHECK(bench.all<release_memory>().back().reservation == asked.reservation);
+    std::cout << "part replaced: passed\n";
+}
+
+TEST_CASE("a dead part without a replacement ends the attempt") {
+    owner_bench bench;
+    bench.add_server("s1");
+    bench.add_server("s2");
+    const submit message = start_group(bench);
+    bench.feed(load_failed{server_name("s2"), backend_failure::refused});
+    REQUIRE(bench.answers<attempt_failed>(message).size() == 1);
+    CHECK(bench.answers<attempt_failed>(message)[0].reason == attempt_failure::part_lost);
+    CHECK(bench.all<cancel_stream>().size() == 1);
+    std::cout << "part lost: passed\n";
+}
