--- a/scripts/demo_fleet.sh
+++ b/scripts/demo_fleet.sh
@@ -17,7 +17,7 @@
   fleet_pids+=($!)
   local pid=$!
   for _ in $(seq 200); do
-    ready_line=$(head -n 1 "$fleet_folder/$name.out")
+    ready_line=$(head -n 1 "$fleet_folder/$name.out" 2>/dev/null || true)
     [ -n "$ready_line" ] && return 0
     kill -0 "$pid" 2>/dev/null || break
     sleep 0.05
@@ -60,7 +60,7 @@
 }
 
 start_control() {
-  start "$1" verbenahold-control --platform-url "http://$platform" --host "$1" --operator-key-sha256 "$(sha256 "$operator_key")"
+  start "$1" verbenahold-control --platform-url "http://$platform" --host "$1" --zone zone-a --operator-key-sha256 "$(sha256 "$operator_key")"
   control=$(ready_field operator)
   [ -n "$control" ] || control=$(ready_field listening)
   export VERBENAHOLD_CONTROL="http://$control"
