--- a/src/standins/fleet.cpp
+++ b/src/standins/fleet.cpp
@@ -1,5 +1,7 @@
 #include "fleet.hpp"
 
+#include <QCryptographicHash>
+#include <QDateTime>
 #include <QJsonArray>
 
 #include <csignal>
@@ -38,9 +40,9 @@
 std::vector<std::pair<std::string, std::string>> listeners_of(member_kind kind) {
     switch (kind) {
         case member_kind::entry:
-            return {{"caller-listen", "caller"}, {"peer-listen", "peer"}};
+            return {{"caller-address", "caller"}, {"peer-address", "peer"}};
         case member_kind::control:
-            return {{"operator-listen", "operator"}};
+            return {{"operator-address", "operator"}};
         case member_kind::engine:
         case member_kind::service:
             break;
@@ -48,6 +50,15 @@
     return {{"listen", "listening"}};
 }
 
+std::string sha256_of(const std::string& value) {
+    return QCryptographicHash::hash(QByteArray::fromStdString(value), QCryptographicHash::Sha256).toHex().toStdString();
+}
+
+// The product's change rows sort by version: 20 digits.
+QString change_key(qint64 version) {
+    return "config/change/" + QString::number(version).rightJustified(20, '0');
+}
+
 bool is_backend(member_kind kind) {
     return kind == member_kind::engine || kind == member_kind::service;
 }
@@ -99,11 +110,18 @@
 QStringList fleet::arguments_for(const member& of) const {
     QStringList arguments;
     if (!is_backend(of.kind)) {
-        arguments << "--host" << text(of.plan.host) << "--zone" << text(of.plan.zone) << "--platform-url"
+        arguments << "--host" << text(of.plan.host) << "--platform-url"
                   << "http://" + text(m_platform_address);
     }
     if (of.kind == member_kind::control) {
-        arguments << "--operator-key" << fleet_operator_key;
+        arguments << "--operator-key-sha256" << text(sha256_of(fleet_operator_key));
+    }
+    if (of.kind == member_kind::entry) {
+        arguments << "--zone" << text(of.plan.zone);
+    }
+    if (const auto proxied = m_proxied.find(of.plan.host);
+        of.kind == member_kind::entry && proxied != m_proxied.end()) {
+        arguments << "--advertised-peer-address" << text(proxied->second);
     }
     for (const auto& [flag, name] : listeners_of(of.kind)) {
         const auto known = of.listeners.find(flag);
@@ -125,10 +143,15 @@
     member& added = m_members[plan.host];
     added.kind = kind;
     added.plan = plan;
+    if (plan.behind_proxy) {
+        // An entry is told its proxy's address when it starts; the proxy
+        // learns its target afterwards.
+        m_proxied[plan.host] = add_proxy(plan.host, "127.0.0.1:0");
+    }
     start_process(added);
     if (plan.behind_proxy) {
-        const std::string& target = is_backend(kind) ? added.address : added.listeners["peer-listen"];
-        m_proxied[plan.host] = add_proxy(plan.host, target);
+        const std::string& target = is_backend(kind) ? added.address : added.listeners["peer-address"];
+        set_proxy_faults(plan.host, {{"target", text(target)}});
     }
 }
 
@@ -202,7 +225,7 @@
     } else {
         host["role"] = "entry";
         host["caller_endpoint"] = text(which.address);
-        host["peer_endpoint"] = shown(which.listeners.at("peer-listen"));
+        host["peer_endpoint"] = shown(which.listeners.at("peer-address"));
     }
     const test_answer answer = call_json("PUT", m_platform_address, "/v1/hosts/" + which.plan.host, host);
     if (answer.status != http_ok) {
@@ -253,16 +276,16 @@
     throw fleet_error("no control process runs");
 }
 
-void fleet::put_record(const std::string& kind, const std::string& name, const QJsonObject& spec,
-                       std::uint64_t record_version) {
-    static std::uint64_t last_operation = 0;
+void fleet::put_record(const std::string& kind, const std::string& name, const QJsonObject& spec) {
+    const std::string address = operator_address();
+    const std::string path = "/v1/records/" + kind + "/" + name;
+    const QList<QPair<QByteArray, QByteArray>> headers{{"Authorization", QByteArray("Bearer ") + fleet_operator_key}};
+    const QJsonValue stored = call_json("GET", address, path, {}, headers).json.value("record");
     const QJsonObject body{{"schema_version", 2},
-                           {"record_version", static_cast<qint64>(record_version)},
+                           {"record_version", stored["record_version"].toInteger()},
                            {"spec", spec},
-                           {"operation", "fleet-" + QString::number(++last_operation)}};
-    const QByteArray authorization = QByteArray("Bearer ") + fleet_operator_key;
-    const test_answer answer = call_json("PUT", operator_address(), "/v1/records/" + kind + "/" + name, body,
-                                         {{"Authorization", authorization}}, call_limit);
+                           {"operation", "fleet-" + QString::number(++m_last_operation)}};
+    const test_answer answer = call_json("PUT", address, path, body, headers, call_limit);
     if (answer.status != http_ok) {
         throw fleet_error("record " + kind + "/" + name + " was not accepted: status " + std::to_string(answer.status) +
                           " " + answer.body.toStdString());
@@ -281,9 +304,9 @@
                                  {"record_version", version},
                                  {"spec", item.spec}};
         const QJsonObject change{
-            {"version", version}, {"kind", text(item.kind)}, {"name", text(item.name)}, {"record", record}};
+            {"version", version}, {"written_at_s", QDateTime::currentSecsSinceEpoch()}, {"record", record}};
         puts.append(QJsonObject{{"key", "config/record/" + name}, {"value", record}});
-        puts.append(QJsonObject{{"key", "config/change/" + QString::number(version)}, {"value", change}});
+        puts.append(QJsonObject{{"key", change_key(version)}, {"value", change}});
     }
     puts.append(QJsonObject{{"key", "config/head"}, {"value", QJsonObject{{"version", version}}}});
     const QJsonArray checks{QJsonObject{{"key", "config/head"}, {"revision", 0}}};
--- a/src/standins/fleet.hpp
+++ b/src/standins/fleet.hpp
@@ -85,9 +85,8 @@
     void set_proxy_faults(const std::string& host, const QJsonObject& faults);
 
     // Writes a record through a control process and waits until it is
-    // accepted; `record_version` is that of the record it replaces.
-    void put_record(const std::string& kind, const std::string& name, const QJsonObject& spec,
-                    std::uint64_t record_version = 0);
+    // accepted.
+    void put_record(const std::string& kind, const std::string& name, const QJsonObject& spec);
     // Writes records straight into the platform's table, for fleets without a
     // control process. They become the first configuration versions.
     struct initial_record {
@@ -127,6 +126,7 @@
     std::string m_proxy_address;
     std::map<std::string, std::string> m_proxied;
     std::map<std::string, member> m_members;
+    std::uint64_t m_last_operation = 0;
 };
 
 // Key that fleets configure control processes with.
--- /dev/null
+++ b/test/integration/entry_drain.cpp
@@ -0,0 +1,27 @@
+// Guards I9: a planned stop of an entry, also one that owns a server, cuts off
+// no request.
+#include "steady_load.hpp"
+#include "test_deployment.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <iostream>
+
+using namespace verbenahold::standins;
+
+TEST_CASE("SIGTERM to an entry under load cuts off no request") {
+    test_deployment deployment(VERBENAHOLD_PROGRAM_FOLDER, {});
+    fleet& processes = deployment.processes();
+    steady_load load(deployment, {"entry-1", "entry-1", "entry-2", "entry-3"}, {"medium", 50, true, 15'000});
+    REQUIRE(wait_until([&] { return load.whole() >= 4; }, std::chrono::seconds(10)));
+    load.leave("entry-1");
+    processes.terminate("entry-1");
+    CHECK(processes.wait_for_exit("entry-1", std::chrono::seconds(15)));
+    const int before = load.whole();
+    CHECK(wait_until([&] { return load.whole() >= before + 4; }, std::chrono::seconds(10)));
+    CHECK(load.finish(std::chrono::seconds(15)));
+    for (const std::string& fault : load.faults()) {
+        FAIL_CHECK(fault);
+    }
+    std::cout << "drain under load: passed, " << load.whole() << " whole answers\n";
+}
--- /dev/null
+++ b/test/integration/killed_owner.cpp
@@ -0,0 +1,25 @@
+// Guards requests against the death of the entry that owns the server: the
+// caller side has to go on through the next owner.
+#include "test_deployment.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <iostream>
+
+using namespace verbenahold::standins;
+
+TEST_CASE("the caller gets the whole answer when the server's owner is killed") {
+    // The only engine is in zone a and so is entry-1, its owner.
+    deployment_plan plan;
+    plan.engines = 1;
+    test_deployment deployment(VERBENAHOLD_PROGRAM_FOLDER, plan);
+    const completion request{"an answer of several seconds", 100, true, 18'000};
+    const auto exchange = deployment.send("entry-2", request);
+    REQUIRE(wait_until([&] { return text_of(*exchange, request).size() > 20; }, std::chrono::seconds(5)));
+    deployment.processes().kill("entry-1");
+    CHECK(wait_until([&] { return exchange->is_over(); }, std::chrono::seconds(18)));
+    INFO(exchange->body().right(300).toStdString());
+    CHECK(is_whole(*exchange, request));
+    CHECK(deployment.sum_of("cold_overloads") == 0);
+    std::cout << "killed owner, whole answer: passed\n";
+}
--- /dev/null
+++ b/test/integration/table_outage.cpp
@@ -0,0 +1,53 @@
+// Guards serving against an outage of the platform's table: only calls that
+// need the table may be refused, and these truthfully.
+#include "test_deployment.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <QElapsedTimer>
+
+#include <iostream>
+
+using namespace verbenahold::standins;
+
+namespace {
+
+constexpr int outage_ms = 9000;
+// Longer than the 5 s after which a configuration that nobody confirms counts
+// as unconfirmed.
+constexpr std::chrono::milliseconds into_outage(6500);
+
+bool wait_over(const http_exchange& exchange) {
+    return wait_until([&] { return exchange.is_over(); }, std::chrono::seconds(8));
+}
+
+}  // namespace
+
+TEST_CASE("completions and keyed orders go on while the table is down") {
+    test_deployment deployment(VERBENAHOLD_PROGRAM_FOLDER, {});
+    deployment.processes().set_platform_faults({{"table_down_ms", outage_ms}});
+    QElapsedTimer outage;
+    outage.start();
+    REQUIRE(wait_until([&] { return outage.elapsed() > into_outage.count(); }, 2 * into_outage));
+
+    const completion request{"during the outage", 10, false, 8000};
+    const auto answer = deployment.send("entry-2", request);
+    CHECK(wait_over(*answer));
+    CHECK(is_whole(*answer, request));
+
+    const QString issued = deployment.locate("entry-1", 1).json["keys"][0].toString();
+    const auto order = deployment.order("entry-3", issued.toStdString(), "{}");
+    CHECK(wait_over(*order));
+    INFO(order->status() << " " << order->body().toStdString());
+    CHECK(order->status() == 200);
+
+    const auto refused = deployment.order("entry-3", "own-key-1", "{}");
+    CHECK(wait_over(*refused));
+    INFO(refused->status() << " " << refused->body().toStdString());
+    CHECK(refused->status() == 503);
+    CHECK(ran_of(*refused) == "no");
+    const QJsonObject stats = deployment.processes().stats("shop-1");
+    CHECK(stats["executions"].toObject().size() == 1);
+    CHECK(stats["executions_without_key"].toInt() == 0);
+    std::cout << "table outage: passed\n";
+}
--- /dev/null
+++ b/test/integration/whole_answers.cpp
@@ -0,0 +1,27 @@
+// Guards the whole path of a request: tokens lost, doubled or mixed up between
+// engine, owner, caller side and caller would show as another text.
+#include "test_deployment.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <iostream>
+#include <vector>
+
+using namespace verbenahold::standins;
+
+TEST_CASE("streamed and whole answers through three entries are those of the engine") {
+    const test_deployment deployment(VERBENAHOLD_PROGRAM_FOLDER, {});
+    std::vector<std::pair<completion, std::unique_ptr<http_exchange>>> calls;
+    for (const char* entry : {"entry-1", "entry-2", "entry-3"}) {
+        for (const bool stream : {true, false}) {
+            const completion request{std::string("say something to ") + entry, 20, stream, 15'000};
+            calls.emplace_back(request, deployment.send(entry, request));
+        }
+    }
+    for (const auto& [request, exchange] : calls) {
+        CHECK(wait_until([&] { return exchange->is_over(); }, std::chrono::seconds(15)));
+        INFO(exchange->status() << " " << exchange->body().toStdString());
+        CHECK(is_whole(*exchange, request));
+    }
+    std::cout << "whole answers through three entries: passed\n";
+}
