--- a/scripts/settings_doc.sh
+++ b/scripts/settings_doc.sh
@@ -12,9 +12,9 @@
   cat <<'TEXT'
 # Settings
 
-Made by `scripts/settings_doc.sh` from each program's `--help`; a test checks that it has not drifted. Every program also has `--print-config`, which checks the settings, prints them without secrets and ends.
+Made by `scripts/settings_doc.sh` from each program's `--help`; a test checks that it has not drifted. Those of the first three programs can also be given by environment variables; `--print-config` checks them, prints them without secrets and ends.
 TEXT
-  for program in verbenahold-entry verbenahold-control verbenactl; do
+  for program in verbenahold-entry verbenahold-control verbenactl verbenahold-load; do
     printf '\n## %s\n\n```text\n' "$program"
     "$programs/$program" --help
     printf '```\n'
--- a/src/standins/fleet.cpp
+++ b/src/standins/fleet.cpp
@@ -39,7 +39,7 @@
 std::vector<std::pair<std::string, std::string>> listeners_of(member_kind kind) {
     switch (kind) {
         case member_kind::entry:
-            return {{"caller-listen", "caller"}, {"peer-listen", "peer"}};
+            return {{"caller-address", "caller"}, {"peer-address", "peer"}};
         case member_kind::control:
             return {{"operator-address", "operator"}};
         case member_kind::engine:
@@ -129,7 +129,7 @@
     added.plan = plan;
     start_process(added);
     if (plan.behind_proxy) {
-        const std::string& target = is_backend(kind) ? added.address : added.listeners["peer-listen"];
+        const std::string& target = is_backend(kind) ? added.address : added.listeners["peer-address"];
         m_proxied[plan.host] = add_proxy(plan.host, target);
     }
 }
@@ -204,7 +204,7 @@
     } else {
         host["role"] = "entry";
         host["caller_endpoint"] = text(which.address);
-        host["peer_endpoint"] = shown(which.listeners.at("peer-listen"));
+        host["peer_endpoint"] = shown(which.listeners.at("peer-address"));
     }
     const test_answer answer = call_json("PUT", m_platform_address, "/v1/hosts/" + which.plan.host, host);
     if (answer.status != http_ok) {
