Free the place of a server that dies while it loads

Cause: with max_unavailable 1, an engine that died after its order stopped the rollout until its host left the host list.

Change: the place is freed 10 minutes after the server was last reached; until then it may be loading, so no other one starts. A server counts as ordered from the moment an order is sent, also when its answer is lost. Tests for this, for lease candidates that die one after another, and for writes during a stop.

--- a/src/core/order_planner.cpp
+++ b/src/core/order_planner.cpp
@@ -151,7 +151,7 @@
             order.target = parse_target(row.value["target"]);
             order.row_revision = row.revision;
             order.retry_at = now;
-            order.inherited = true;
+            order.may_have_arrived = true;
             m_orders.emplace(server, std::move(order));
         }
     }
@@ -284,9 +284,8 @@
 void order_planner::refresh_target(const server_name& server, open_order& order, const context& ctx) {
     const auto found = m_servers.find(server);
     const bool gone = found == m_servers.end() || ctx.spec == nullptr;
-    const bool not_sent = order.next_step == 0 && !order.inherited && order.at != stage::verifying;
-    const bool unreachable =
-        !gone && found->second.failing_since && ctx.now - *found->second.failing_since > unreachable_limit && not_sent;
+    const duration limit = order.may_have_arrived ? unreachable_after_order_limit : unreachable_limit;
+    const bool unreachable = !gone && found->second.failing_since && ctx.now - *found->second.failing_since > limit;
     if (gone || unreachable) {
         order.at = stage::clearing;
         return;
@@ -471,6 +470,7 @@
         return;
     }
     order.at = stage::sending;
+    order.may_have_arrived = true;
     order.call = m_table.next_call();
     order.retry_at = ctx.now + table_port::call_limit;
     ctx.out.emplace_back(
--- a/src/core/order_planner.hpp
+++ b/src/core/order_planner.hpp
@@ -44,6 +44,9 @@
     // A server that does not answer gives its place up to another one if it
     // has not been ordered yet.
     static constexpr duration unreachable_limit = std::chrono::seconds(30);
+    // The same for a server that was ordered: after this long it is no longer
+    // loading, whether it lives or not. Loads take a few minutes at most.
+    static constexpr duration unreachable_after_order_limit = std::chrono::minutes(10);
     // An order that the load report does not confirm within this is repeated.
     static constexpr duration verify_limit = std::chrono::seconds(60);
 
@@ -105,8 +108,9 @@
         time_point ordered{};
         // The weight store granted a load.
         bool permit = false;
-        // A row left by an earlier holder whose order may be under way.
-        bool inherited = false;
+        // The server may have received an order, from this process or from the
+        // earlier holder that left the row.
+        bool may_have_arrived = false;
         std::uint64_t call = 0;
     };
     using order_map = std::map<server_name, open_order>;
--- a/test/correctness/core_control_operations.cpp
+++ b/test/correctness/core_control_operations.cpp
@@ -104,3 +104,17 @@
     CHECK(bench.body_of(902)["changes"].toArray().size() == 1);
     std::cout << "watcher far behind: passed\n";
 }
+
+TEST_CASE("a planned stop finishes the writes that run and refuses new ones as not accepted") {
+    control_bench bench(1);
+    const auto running = bench.write(0, zone_record("out"), "op-1");
+    bench.send(0, drain_requested{});
+    const auto late = bench.write(0, zone_record("in", 1), "op-2");
+    bench.run_for(2s);
+    CHECK(bench.status_of(running) == 200);
+    CHECK(bench.status_of(late) == 503);
+    CHECK(bench.body_of(late)["error"]["code"].toString() == "draining");
+    CHECK(bench.body_of(late)["error"]["accepted"].toString() == "no");
+    CHECK(bench.head_version() == 1);
+    std::cout << "planned stop of control: passed\n";
+}
--- a/test/correctness/core_control_orders.cpp
+++ b/test/correctness/core_control_orders.cpp
@@ -63,6 +63,24 @@
     std::cout << "drained before ordered: passed\n";
 }
 
+TEST_CASE("a server that dies while it loads does not stop the rollout for good") {
+    control_bench bench(1);
+    bench.store(service_record("v2", 1));
+    add_engines(bench, 3);
+    bench.on_order = [&](std::size_t) { bench.engines.at("server-0").dead = true; };
+    bench.run_for(300s);
+    // It may still be loading as far as anyone knows, so no other one starts.
+    CHECK(engines_at(bench, "v2") == 0);
+    bench.run_for(600s);
+    CHECK(engines_at(bench, "v2") == 2);
+    bench.on_order = nullptr;
+    bench.engines.at("server-0").dead = false;
+    bench.run_for(60s);
+    CHECK(engines_at(bench, "v2") == 3);
+    CHECK(bench.most_loading == 1);
+    std::cout << "server dead while loading: passed\n";
+}
+
 TEST_CASE("adapters and role are ordered once for each engine") {
     control_bench bench(2);
     record value = service_record("v1", 1);
--- a/test/driver/control_bench.cpp
+++ b/test/driver/control_bench.cpp
@@ -221,6 +221,10 @@
         on_order(process);
     }
     engine& target = engines.at(command.server.value);
+    if (target.dead) {
+        answer(process, order_answered{command.call, order_result::unknown});
+        return;
+    }
     if (target.checks_fence && command.fence < target.highest_fence) {
         answer(process, order_answered{command.call, order_result::stale_fence});
         return;
@@ -242,6 +246,10 @@
 
 void control_bench::run(std::size_t process, const poll_load& command) {
     engine& target = engines.at(command.server.value);
+    if (target.dead) {
+        answer(process, load_failed{command.server, backend_failure::refused});
+        return;
+    }
     if (target.loading_until && *target.loading_until <= now) {
         target.version = target.next_version;
         target.loading_until.reset();
@@ -254,6 +262,10 @@
 }
 
 void control_bench::run(std::size_t process, const list_streams& command) {
+    if (engines.at(command.server.value).dead) {
+        answer(process, load_failed{command.server, backend_failure::refused});
+        return;
+    }
     stream_listing listing{command.server, 1, {}, {}};
     for (const std::string& stream : engines.at(command.server.value).streams) {
         listing.streams.push_back({stream, 1, true, {}});
--- a/test/driver/control_bench.hpp
+++ b/test/driver/control_bench.hpp
@@ -34,6 +34,8 @@
 
     struct engine {
         std::string version = "v1";
+        // A dead engine refuses connections.
+        bool dead = false;
         std::optional<time_point> loading_until;
         std::string next_version;
         std::vector<std::string> streams;
--- a/test/error/core_control_lease.cpp
+++ b/test/error/core_control_lease.cpp
@@ -92,6 +92,27 @@
     std::cout << "pause between orders: passed\n";
 }
 
+TEST_CASE("a lease finds a holder again when its candidates die one after another") {
+    constexpr std::size_t processes = 9;
+    control_bench bench(processes);
+    for (std::size_t i = 0; i < processes; ++i) {
+        bench.daemons["entry-" + std::to_string(i)] = 2;
+    }
+    bench.store(service_record("v1", 1));
+    add_engines(bench, 1, true);
+    bench.run_for(60s);
+    // More than the five candidates; the host list goes on to show them all.
+    for (std::size_t dead = 0; dead + 1 < processes; ++dead) {
+        const std::uint64_t fence = fence_of(bench);
+        REQUIRE(fence > 0);
+        const QString holder = bench.rows.at("lease/shade-llm").value["holder"].toString();
+        bench.pause(static_cast<std::size_t>(holder.section('.', 0, 0).section('-', 1).toInt()), true);
+        bench.run_for(70s);
+        CHECK(fence_of(bench) == fence + 1);
+    }
+    std::cout << "candidates die one after another: passed\n";
+}
+
 TEST_CASE("a long outage of the store stops orders, and the rollout goes on after it") {
     control_bench bench(3);
     bench.store(service_record("v2", 1));
