--- a/test/error/core_control_lease.cpp
+++ b/test/error/core_control_lease.cpp
@@ -4,10 +4,13 @@
 #include "control_bench.hpp"
 #include "control_records.hpp"
 
+#include <QJsonArray>
+
 #include <catch2/catch.hpp>
 
 #include <algorithm>
 #include <iostream>
+#include <optional>
 
 using namespace verbenahold;
 using namespace verbenahold::bench;
@@ -60,6 +63,56 @@
     std::cout << "paused holder in " << takeovers << " takeovers: passed\n";
 }
 
+TEST_CASE("a holder paused between the orders to one server sends no further one") {
+    constexpr int orders_in_all = 9;
+    for (int paused_at = 1; paused_at <= orders_in_all; ++paused_at) {
+        control_bench bench(2);
+        record value = service_record("v2", 1);
+        value.spec["adapters"] = QJsonArray{"legal", "medical"};
+        bench.store(value);
+        add_engines(bench, 3, false);
+        std::optional<std::size_t> paused;
+        int orders = 0;
+        bench.on_order = [&](std::size_t process) {
+            if (++orders == paused_at) {
+                paused = process;
+                bench.pause(process, true);
+            }
+        };
+        bench.run_for(60s);
+        REQUIRE(paused);
+        bench.pause(*paused, false);
+        bench.run_for(60s);
+        INFO("paused at order " << paused_at);
+        for (const auto& [name, engine] : bench.engines) {
+            CHECK(std::is_sorted(engine.fences.begin(), engine.fences.end()));
+            CHECK(engine.version == "v2");
+        }
+    }
+    std::cout << "pause between orders: passed\n";
+}
+
+TEST_CASE("a lease finds a holder again when its candidates die one after another") {
+    constexpr std::size_t processes = 9;
+    control_bench bench(processes);
+    for (std::size_t i = 0; i < processes; ++i) {
+        bench.daemons["entry-" + std::to_string(i)] = 2;
+    }
+    bench.store(service_record("v1", 1));
+    add_engines(bench, 1, true);
+    bench.run_for(60s);
+    // More than the five candidates; the host list goes on to show them all.
+    for (std::size_t dead = 0; dead + 1 < processes; ++dead) {
+        const std::uint64_t fence = fence_of(bench);
+        REQUIRE(fence > 0);
+        const QString holder = bench.rows.at("lease/shade-llm").value["holder"].toString();
+        bench.pause(static_cast<std::size_t>(holder.section('.', 0, 0).section('-', 1).toInt()), true);
+        bench.run_for(70s);
+        CHECK(fence_of(bench) == fence + 1);
+    }
+    std::cout << "candidates die one after another: passed\n";
+}
+
 TEST_CASE("a long outage of the store stops orders, and the rollout goes on after it") {
     control_bench bench(3);
     bench.store(service_record("v2", 1));
