Refuse to overwrite records of a newer schema version

Cause: a control process that is older than the program that wrote a record would drop the fields of the newer schema version that its operator's file does not have.

Change: such a write is refused with 422 newer_schema; the record is shown as it is.

--- a/src/core/operation_log.cpp
+++ b/src/core/operation_log.cpp
@@ -99,6 +99,10 @@
     which.in_doubt = doubt::none;
     const stored_row* row = find_row(answer.rows, record_row_key(which.write.stored_form.key));
     const auto stored = row == nullptr ? std::nullopt : parse_record_row(row->value);
+    if (stored && stored->schema_version > newest_schema_version) {
+        finish(id, {write_verdict::newer_schema, 0, stored}, now, out);
+        return;
+    }
     const std::uint64_t stands_at = stored ? stored->record_version : 0;
     if (stands_at != which.write.requested.record_version) {
         finish(id, {write_verdict::conflict, 0, stored}, now, out);
--- a/src/core/operation_log.hpp
+++ b/src/core/operation_log.hpp
@@ -25,6 +25,9 @@
     conflict,
     // The operation id was used for another write.
     reused,
+    // The record is stored in a schema version that this program does not
+    // read; writing it would lose what it can't see.
+    newer_schema,
     // The table could not be reached in time; nothing was or will be written.
     store_down,
     // The table could not be reached after a transaction was sent; it may have
--- a/src/core/operator_desk.cpp
+++ b/src/core/operator_desk.cpp
@@ -53,6 +53,11 @@
         case write_verdict::reused:
             return {ticket, status_invalid,
                     operator_error("operation_reused", "the operation id was used for another write")};
+        case write_verdict::newer_schema:
+            return {ticket, status_invalid,
+                    operator_error("newer_schema",
+                                   "the record is stored in a newer schema version than this control "
+                                   "process reads; write it through a newer one")};
         case write_verdict::store_down:
             return {ticket, status_unavailable, store_error()};
         case write_verdict::unknown:
--- a/test/correctness/core_control_schema.cpp
+++ b/test/correctness/core_control_schema.cpp
@@ -78,3 +78,18 @@
     CHECK(bench.head_version() == 0);
     std::cout << "no form in the old version: passed\n";
 }
+
+TEST_CASE("a record of a newer schema version is shown and not overwritten") {
+    control_bench bench(1);
+    record newer = zone_record("out");
+    newer.schema_version = newest_schema_version + 1;
+    bench.store(newer);
+    const auto ticket = bench.write(0, zone_record("in", 1), "op-1");
+    bench.send(0, read_request{901, record_kind::availability_zone, "zone-a"});
+    bench.run_for(2s);
+    CHECK(bench.status_of(ticket) == 422);
+    CHECK(bench.status_of(901) == 200);
+    const QJsonObject kept = stored(bench, "config/record/availability_zone/zone-a");
+    CHECK(kept["spec"]["state"].toString() == "out");
+    std::cout << "newer schema version: passed\n";
+}
