--- a/src/standins/fleet.cpp
+++ b/src/standins/fleet.cpp
@@ -1,6 +1,7 @@
 #include "fleet.hpp"
 
 #include <QCryptographicHash>
+#include <QDateTime>
 #include <QJsonArray>
 
 #include <csignal>
@@ -49,6 +50,15 @@
     return {{"listen", "listening"}};
 }
 
+std::string sha256_of(const std::string& value) {
+    return QCryptographicHash::hash(QByteArray::fromStdString(value), QCryptographicHash::Sha256).toHex().toStdString();
+}
+
+// The product's change rows sort by version: 20 digits.
+QString change_key(qint64 version) {
+    return "config/change/" + QString::number(version).rightJustified(20, '0');
+}
+
 bool is_backend(member_kind kind) {
     return kind == member_kind::engine || kind == member_kind::service;
 }
@@ -104,8 +114,11 @@
                   << "http://" + text(m_platform_address);
     }
     if (of.kind == member_kind::control) {
-        arguments << "--operator-key-sha256"
-                  << QCryptographicHash::hash(fleet_operator_key, QCryptographicHash::Sha256).toHex();
+        arguments << "--operator-key-sha256" << text(sha256_of(fleet_operator_key));
+    }
+    if (const auto proxied = m_proxied.find(of.plan.host);
+        of.kind == member_kind::entry && proxied != m_proxied.end()) {
+        arguments << "--advertised-peer-address" << text(proxied->second);
     }
     for (const auto& [flag, name] : listeners_of(of.kind)) {
         const auto known = of.listeners.find(flag);
@@ -127,10 +140,15 @@
     member& added = m_members[plan.host];
     added.kind = kind;
     added.plan = plan;
+    if (plan.behind_proxy) {
+        // An entry is told its proxy's address when it starts; the proxy
+        // learns its target afterwards.
+        m_proxied[plan.host] = add_proxy(plan.host, "127.0.0.1:0");
+    }
     start_process(added);
     if (plan.behind_proxy) {
         const std::string& target = is_backend(kind) ? added.address : added.listeners["peer-address"];
-        m_proxied[plan.host] = add_proxy(plan.host, target);
+        set_proxy_faults(plan.host, {{"target", text(target)}});
     }
 }
 
@@ -255,16 +273,16 @@
     throw fleet_error("no control process runs");
 }
 
-void fleet::put_record(const std::string& kind, const std::string& name, const QJsonObject& spec,
-                       std::uint64_t record_version) {
-    static std::uint64_t last_operation = 0;
+void fleet::put_record(const std::string& kind, const std::string& name, const QJsonObject& spec) {
+    const std::string address = operator_address();
+    const std::string path = "/v1/records/" + kind + "/" + name;
+    const QList<QPair<QByteArray, QByteArray>> headers{{"Authorization", QByteArray("Bearer ") + fleet_operator_key}};
+    const QJsonValue stored = call_json("GET", address, path, {}, headers).json.value("record");
     const QJsonObject body{{"schema_version", 2},
-                           {"record_version", static_cast<qint64>(record_version)},
+                           {"record_version", stored["record_version"].toInteger()},
                            {"spec", spec},
-                           {"operation", "fleet-" + QString::number(++last_operation)}};
-    const QByteArray authorization = QByteArray("Bearer ") + fleet_operator_key;
-    const test_answer answer = call_json("PUT", operator_address(), "/v1/records/" + kind + "/" + name, body,
-                                         {{"Authorization", authorization}}, call_limit);
+                           {"operation", "fleet-" + QString::number(++m_last_operation)}};
+    const test_answer answer = call_json("PUT", address, path, body, headers, call_limit);
     if (answer.status != http_ok) {
         throw fleet_error("record " + kind + "/" + name + " was not accepted: status " + std::to_string(answer.status) +
                           " " + answer.body.toStdString());
@@ -283,9 +301,9 @@
                                  {"record_version", version},
                                  {"spec", item.spec}};
         const QJsonObject change{
-            {"version", version}, {"kind", text(item.kind)}, {"name", text(item.name)}, {"record", record}};
+            {"version", version}, {"written_at_s", QDateTime::currentSecsSinceEpoch()}, {"record", record}};
         puts.append(QJsonObject{{"key", "config/record/" + name}, {"value", record}});
-        puts.append(QJsonObject{{"key", "config/change/" + QString::number(version)}, {"value", change}});
+        puts.append(QJsonObject{{"key", change_key(version)}, {"value", change}});
     }
     puts.append(QJsonObject{{"key", "config/head"}, {"value", QJsonObject{{"version", version}}}});
     const QJsonArray checks{QJsonObject{{"key", "config/head"}, {"revision", 0}}};
