Tell the caller side of own headroom on every path that places

Cause: the summary of this daemon's own servers reached its caller side with on(caller_request) only. A keyed call forwarded to its home, or a request placed again, ended as overloaded although the daemon owned a free server. Change: each path that may place a request starts with a fresh summary. Before: three integration tests red (key from locate with the home killed, table outage, killed owner).

--- a/src/core/entry_parts.cpp
+++ b/src/core/entry_parts.cpp
@@ -87,6 +87,14 @@
             *m_out};
 }
 
+// The caller side has no other way to learn what this daemon's own servers can
+// take, so each path that may place a request begins with this.
+caller_side::context entry_core::parts::placing_context() {
+    auto servers = owner_context();
+    m_callers.on_summary(m_settings.self, m_servers.make_summary(servers), caller_context());
+    return caller_context();
+}
+
 // ---- time and life
 
 void entry_core::parts::on(const tick& /*event*/) {
@@ -96,7 +104,7 @@
     exchange_strikes();
     auto owner = owner_context();
     m_servers.on_tick(owner);
-    auto caller = caller_context();
+    auto caller = placing_context();
     m_callers.on_tick(caller);
     m_keys.on_tick(m_callers, caller);
     send_summaries();
@@ -178,7 +186,7 @@
 }
 
 void entry_core::parts::on(const claim_answered& event) {
-    auto ctx = caller_context();
+    auto ctx = placing_context();
     m_keys.on_claim_answered(event, m_callers, ctx);
 }
 
@@ -189,9 +197,7 @@
         m_out->push_back(reply_refused{event.ticket, refusal::draining, ran_state::no, "this entry is stopping", {}});
         return;
     }
-    auto servers = owner_context();
-    m_callers.on_summary(m_settings.self, m_servers.make_summary(servers), caller_context());
-    auto ctx = caller_context();
+    auto ctx = placing_context();
     if (event.kind == call_kind::plain && !event.idempotent) {
         m_keys.on_caller_request(event, m_callers, ctx);
     } else {
@@ -313,7 +319,7 @@
 }
 
 void entry_core::parts::receive(const daemon_id& from, const submit_bounced& message) {
-    auto ctx = caller_context();
+    auto ctx = placing_context();
     m_callers.on_bounced(from, message, ctx);
 }
 
@@ -338,7 +344,7 @@
 }
 
 void entry_core::parts::receive(const daemon_id& from, const attempt_failed& message) {
-    auto ctx = caller_context();
+    auto ctx = placing_context();
     m_callers.on_failed(from, message, ctx);
 }
 
@@ -353,7 +359,7 @@
 }
 
 void entry_core::parts::receive(const daemon_id& from, const attempt_status& message) {
-    auto ctx = caller_context();
+    auto ctx = placing_context();
     m_callers.on_status(from, message, ctx);
 }
 
@@ -378,7 +384,7 @@
 }
 
 void entry_core::parts::receive(const daemon_id& from, const keyed_call& message) {
-    auto ctx = caller_context();
+    auto ctx = placing_context();
     m_keys.on_keyed_call(from, message, m_callers, ctx);
 }
 
--- a/src/core/entry_parts.hpp
+++ b/src/core/entry_parts.hpp
@@ -85,6 +85,7 @@
     std::vector<located_entry> list_entries(const locate_request& event, const account_name& account) const;
     owner_side::context owner_context();
     caller_side::context caller_context();
+    caller_side::context placing_context();
 
     entry_settings m_settings;
     membership m_members;
