--- a/src/standins/fleet.cpp
+++ b/src/standins/fleet.cpp
@@ -39,7 +39,7 @@
 std::vector<std::pair<std::string, std::string>> listeners_of(member_kind kind) {
     switch (kind) {
         case member_kind::entry:
-            return {{"caller-listen", "caller"}, {"peer-listen", "peer"}};
+            return {{"caller-address", "caller"}, {"peer-address", "peer"}};
         case member_kind::control:
             return {{"operator-address", "operator"}};
         case member_kind::engine:
@@ -204,7 +204,7 @@
     } else {
         host["role"] = "entry";
         host["caller_endpoint"] = text(which.address);
-        host["peer_endpoint"] = shown(which.listeners.at("peer-listen"));
+        host["peer_endpoint"] = shown(which.listeners.at("peer-address"));
     }
     const test_answer answer = call_json("PUT", m_platform_address, "/v1/hosts/" + which.plan.host, host);
     if (answer.status != http_ok) {
