Replace QNetworkAccessManager by a client over kept connections

Cause: a profile of lookups (perf record on the entry) showed 42 % of the processor time in QNetworkAccessManager's thread, and much of the rest in its signals. It also repeats requests by itself and limits connections to 6.

Change: http_client speaks HTTP/1.1 over QTcpSocket with kept connections; one parser serves it and one-shot calls. GET, HEAD and DELETE are sent again when a kept connection was closed, any other call is sent once; such a call takes only connections that were in use within the last second.

--- a/src/io/one_shot_call.hpp
+++ b/src/io/one_shot_call.hpp
@@ -10,6 +10,7 @@
 
 #include <functional>
 
+#include "http_answer_parser.hpp"
 #include "http_client.hpp"
 
 namespace verbenahold {
@@ -26,9 +27,7 @@
     one_shot_call(const http_call& call, QObject* parent, answer_callback done);
 
     void read();
-    void read_body();
-    bool read_chunks();
-    void handle_end(http_failure failure);
+    void handle_end();
     void finish(http_failure failure);
 
     QByteArray m_request;
@@ -36,11 +35,7 @@
     QTcpSocket m_socket;
     QTimer m_timer;
     bool m_sent = false;
-    bool m_head_read = false;
-    bool m_chunked = false;
-    // Without a length the body ends with the connection.
-    qint64 m_length = -1;
-    QByteArray m_received;
+    http_answer_parser m_parser;
     http_answer m_answer;
 };
 
