Drop kept connections after a timeout and test silence and stalls

Cause: kept connections to one server can go silent together; each call would have run into its own timeout.

Change: a timeout drops all idle connections to that server.

--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -285,6 +285,9 @@
     const std::unique_ptr<active_call> call = std::move(found->second);
     m_calls.erase(found);
     call->timer.stop();
+    if (failure == http_failure::timed_out) {
+        drop_idle(call->used->target);
+    }
     release(std::move(call->used), failure == http_failure::none && call->answer_parser.keeps_connection());
     if (call->detached) {
         return;
@@ -343,6 +346,19 @@
     list.push_back(std::move(used));
 }
 
+// Connections may go silent together; after a timeout the next call gets a new
+// one instead of running into the same silence.
+void http_client::drop_idle(const QByteArray& target) {
+    const auto found = m_idle.find(target);
+    if (found == m_idle.end()) {
+        return;
+    }
+    for (std::unique_ptr<connection>& kept : found->second) {
+        discard(std::move(kept));
+    }
+    m_idle.erase(found);
+}
+
 // The socket may be in the middle of one of its own signals.
 void http_client::discard(std::unique_ptr<connection> used) {
     QTcpSocket* socket = used->socket.release();
--- a/src/io/http_client.hpp
+++ b/src/io/http_client.hpp
@@ -107,6 +107,7 @@
     void finish(call_id id, http_failure failure);
     void release(std::unique_ptr<connection> used, bool reusable);
     static void discard(std::unique_ptr<connection> used);
+    void drop_idle(const QByteArray& target);
     void trim_idle();
 
     std::map<QByteArray, idle_list> m_idle;
--- a/test/error/io_http.cpp
+++ b/test/error/io_http.cpp
@@ -59,6 +59,39 @@
     std::cout << "limits of connections: passed\n";
 }
 
+TEST_CASE("a caller that takes nothing is closed, by time and by waiting bytes") {
+    http_limits limits;
+    limits.write_stall_time = std::chrono::milliseconds(500);
+    limits.write_buffer_bytes = 1'000'000;
+    http_server server(limits);
+    shared_reply kept;
+    int gone = 0;
+    server.add_route("GET", "/", [&](const auto&, const shared_reply& reply) {
+        reply->begin(200, "text/plain");
+        reply->on_gone([&] { ++gone; });
+        kept = reply;
+    });
+    const QUrl url = url_of(server.listen_on(any_port)->address, "/");
+    for (const bool flood : {false, true}) {
+        kept.reset();
+        QTcpSocket caller;
+        caller.setReadBufferSize(1'000);
+        caller.connectToHost(url.host(), static_cast<quint16>(url.port()));
+        caller.write("GET / HTTP/1.1\r\n\r\n");
+        REQUIRE(wait_until([&] { return kept != nullptr; }));
+        const int before = gone;
+        // More than the kernel's buffers hold, then more than may wait.
+        kept->write(QByteArray(20'000'000, 'a'));
+        if (flood) {
+            CHECK_FALSE(kept->write("more"));
+            CHECK(gone == before + 1);
+        }
+        REQUIRE(wait_until([&] { return gone == before + 1; }));
+        CHECK_FALSE(kept->is_open());
+    }
+    std::cout << "callers that take nothing: passed\n";
+}
+
 TEST_CASE("a body is sent once when the connection closes before the reply") {
     // QNetworkAccessManager repeats a POST by itself in that case.
     QTcpServer server;
--- a/test/error/io_kept_connection.cpp
+++ b/test/error/io_kept_connection.cpp
@@ -14,6 +14,25 @@
 
 namespace {
 
+// Answers every request until it goes silent; new connections are answered.
+struct silent_server {
+    silent_server() {
+        server.listen(QHostAddress::LocalHost);
+        QObject::connect(&server, &QTcpServer::newConnection, [this] {
+            QTcpSocket* socket = server.nextPendingConnection();
+            QObject::connect(socket, &QTcpSocket::readyRead, socket, [this, socket, made = silences] {
+                socket->readAll();
+                if (made == silences) {
+                    socket->write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+                }
+            });
+        });
+    }
+
+    QTcpServer server;
+    int silences = 0;
+};
+
 // Answers the first request of each connection and closes at the second.
 struct closing_server {
     closing_server() {
@@ -65,3 +84,19 @@
     CHECK(closing.requests == 4);
     std::cout << "kept connection closed by the server: passed\n";
 }
+
+TEST_CASE("after one silent kept connection the next call gets a new one") {
+    silent_server silent;
+    http_client client;
+    http_call get{.url = url_of("127.0.0.1:" + std::to_string(silent.server.serverPort()), "/")};
+    get.timeout = std::chrono::milliseconds(300);
+    int good = 0;
+    for (int i = 0; i < 5; ++i) {
+        client.send(get, [&](const http_answer& answer) { good += answer.good() ? 1 : 0; });
+    }
+    REQUIRE(wait_until([&] { return good == 5; }));
+    ++silent.silences;
+    CHECK(run(client, get).failure == http_failure::timed_out);
+    CHECK(run(client, get).good());
+    std::cout << "silent kept connections: passed\n";
+}
