Let the I/O tests wait for events instead of spinning

Cause: processEvents() with a time limit ignores WaitForMoreEvents, so each test used a whole core while it waited.

Change: a timer ends each wait.

--- a/test/correctness/io_wait.hpp
+++ b/test/correctness/io_wait.hpp
@@ -3,7 +3,7 @@
 
 #include <QCoreApplication>
 #include <QElapsedTimer>
-#include <QThread>
+#include <QTimer>
 #include <QUrl>
 
 #include <functional>
@@ -13,12 +13,15 @@
 inline bool wait_until(const std::function<bool()>& condition, int limit_ms = 10'000) {
     QElapsedTimer since;
     since.start();
+    // Ends a wait for events; processEvents() with a time limit would not wait
+    // at all but spin.
+    QTimer wake;
+    wake.start(5);
     while (!condition()) {
         if (since.hasExpired(limit_ms)) {
             return false;
         }
-        QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents | QEventLoop::AllEvents, 20);
-        QThread::msleep(0);
+        QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents | QEventLoop::AllEvents);
     }
     return true;
 }
