--- a/src/core/operator_desk.cpp
+++ b/src/core/operator_desk.cpp
@@ -53,6 +53,11 @@
         case write_verdict::reused:
             return {ticket, status_invalid,
                     operator_error("operation_reused", "the operation id was used for another write")};
+        case write_verdict::newer_schema:
+            return {ticket, status_invalid,
+                    operator_error("newer_schema",
+                                   "the record is stored in a newer schema version than this control "
+                                   "process reads; write it through a newer one")};
         case write_verdict::store_down:
             return {ticket, status_unavailable, store_error()};
         case write_verdict::unknown:
@@ -176,8 +181,7 @@
         [ticket = write.ticket, key = write.requested.key](const write_outcome& outcome, time_point, commands& more) {
             more.emplace_back(reply_to(ticket, outcome));
             const bool accepted = outcome.verdict == write_verdict::accepted;
-            more.emplace_back(
-                count{accepted ? "writes_accepted" : "writes_refused"});
+            more.emplace_back(count{accepted ? "writes_accepted" : "writes_refused"});
             if (accepted) {
                 more.emplace_back(log_change{"accepted " + std::string(to_string(key.kind)) + '/' + key.name +
                                              " at version " + std::to_string(outcome.version)});
