--- a/src/io/engine_client.cpp
+++ b/src/io/engine_client.cpp
@@ -228,7 +228,7 @@
     }
     const QJsonObject json = QJsonDocument::fromJson(data).object();
     if (json.value("done").toBool()) {
-        m_client.detach(found->second.call);
+        m_client.cancel(found->second.call);
         end_span(found->second, true);
         m_streams.erase(found);
         m_sink(stream_finished{key.first, key.second, static_cast<std::uint64_t>(json.value("count").toInteger()),
--- a/src/io/http_client.hpp
+++ b/src/io/http_client.hpp
@@ -1,12 +1,11 @@
-// HTTP requests and server-sent event streams to other hosts, over kept
-// connections. Every call ends with exactly one callback, within its time
-// limit. QNetworkAccessManager is not used: it repeats requests by itself, and
-// its thread and signals took most of the processor time of a call.
+// HTTP requests and server-sent event streams to other hosts. Every call ends
+// with exactly one callback, within its time limit.
 #pragma once
 
 #include <QByteArray>
+#include <QNetworkAccessManager>
+#include <QNetworkReply>
 #include <QObject>
-#include <QTcpSocket>
 #include <QTimer>
 #include <QUrl>
 
@@ -15,7 +14,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -78,40 +76,31 @@
     // Largest answer; a longer one is a bad answer.
     static constexpr qint64 answer_limit = 64LL * 1024 * 1024;
 
-    // Sends a call. A GET, HEAD or DELETE is sent a second time when a kept
-    // connection turns out to be closed; any other call is sent once only.
+    // Sends a call. A body is sent once only; a call without a body may be
+    // sent twice when the server closes an idle connection.
     call_id send(const http_call& call, answer_callback done);
     // Opens a stream of server-sent events that is given up after
     // `silence_limit` without a byte.
     call_id open_stream(const http_call& call, std::chrono::milliseconds silence_limit, stream_callbacks callbacks);
     // Ends a call without a callback. Does nothing for a call that has ended.
     void cancel(call_id which);
-    // Ends a call without a callback as cancel() does, but lets its answer come
-    // to its end, so that the connection can be kept.
-    void detach(call_id which);
 
 private:
-    struct connection;
+    struct pool;
+    struct managed;
     struct active_call;
-    using idle_list = std::vector<std::unique_ptr<connection>>;
 
     active_call& start(const http_call& call, call_id id);
-    void assign_connection(call_id id, active_call& call);
-    std::unique_ptr<connection> take_idle(const active_call& call);
-    std::unique_ptr<connection> connect_to(const QUrl& url);
-    void send_request(active_call& call);
-    void read(call_id id);
-    void handle_stream_bytes(call_id id, const QByteArray& bytes);
-    void handle_end(call_id id);
-    void handle_timeout(call_id id);
-    void finish(call_id id, http_failure failure);
-    void release(std::unique_ptr<connection> used, bool reusable);
-    static void discard(std::unique_ptr<connection> used);
-    void drop_idle(const QByteArray& target);
-    void trim_idle();
-
-    std::map<QByteArray, idle_list> m_idle;
-    std::unordered_map<call_id, std::unique_ptr<active_call>> m_calls;
+    managed& pick_manager(const QUrl& url);
+    void finish(call_id id);
+    void read_stream(call_id id);
+    void fail(call_id id, http_failure failure);
+    void deliver(call_id id, const http_answer& answer);
+    void discard(active_call& call);
+    void trim_pools();
+
+    std::map<QString, std::unique_ptr<pool>> m_pools;
+    std::map<call_id, std::unique_ptr<active_call>> m_calls;
     call_id m_last = 0;
     QTimer m_trim;
 };
--- /dev/null
+++ b/src/io/once_body.cpp
@@ -0,0 +1,35 @@
+#include "once_body.hpp"
+
+#include <algorithm>
+#include <cstring>
+#include <utility>
+
+namespace verbenahold {
+
+once_body::once_body(QByteArray bytes, QObject* parent) : QIODevice(parent), m_bytes(std::move(bytes)) {
+    open(QIODevice::ReadOnly | QIODevice::Unbuffered);
+}
+
+qint64 once_body::bytesAvailable() const {
+    return m_bytes.size() - m_position + QIODevice::bytesAvailable();
+}
+
+bool once_body::seek(qint64 /*position*/) {
+    return false;
+}
+
+qint64 once_body::readData(char* data, qint64 size) {
+    const qint64 count = std::min<qint64>(size, m_bytes.size() - m_position);
+    if (count == 0) {
+        return -1;
+    }
+    std::memcpy(data, m_bytes.constData() + m_position, static_cast<std::size_t>(count));
+    m_position += count;
+    return count;
+}
+
+qint64 once_body::writeData(const char* /*data*/, qint64 /*size*/) {
+    return -1;
+}
+
+}  // namespace verbenahold
