Hold one server's memory for long work that has aged

Cause: medium requests refilled the KV memory of every server as soon as one ended, so a long request that needs most of a server's memory never started.

Change: when aged long work fits nowhere, the usable server with most free memory takes no medium or younger long work until it does. The owner's tests print their line only when all checks passed.

--- a/src/core/owner_state.cpp
+++ b/src/core/owner_state.cpp
@@ -286,6 +286,7 @@
             return true;
         }
     }
+    hold_for_aged_long(work, ctx);
     for (const lane from : {lane_short, lane_medium, lane_long})
         if (try_lane(work, from, false, ctx)) {
             work.aged_went_last = false;
@@ -294,6 +295,20 @@
     return false;
 }
 
+// Medium work could refill the memory of every server for ever. When aged long
+// work fits nowhere, one server takes no medium work until it does.
+void owner_side::state::hold_for_aged_long(service_work& work, context& ctx) {
+    work.held_for_long = nullptr;
+    const queued_work* oldest = work.queues[lane_long].oldest();
+    if (oldest == nullptr || ctx.now - oldest->queued_at < aging_limit(*oldest, true))
+        return;
+    for (const server_state* server : work.servers) {
+        const bool usable = server->is_usable(ctx.now) && !server->isolated && is_server_in(*server, ctx);
+        if (usable && (work.held_for_long == nullptr || server->free_kv() > work.held_for_long->free_kv()))
+            work.held_for_long = server;
+    }
+}
+
 bool owner_side::state::try_lane(service_work& work, lane from, bool aged, context& ctx) {
     work_queue& queue = work.queues[from];
     while (!queue.empty()) {
@@ -306,8 +321,9 @@
         std::vector<server_state*> in_zone;
         std::ranges::copy_if(work.servers, std::back_inserter(in_zone),
                              [&](const server_state* server) { return is_server_in(*server, ctx); });
-        const server_query query{record.request, short_present(work, ctx.now), aged,
-                                 ctx.config.routing_for(work.name).long_share, ctx.now};
+        const server_query query{record.request, short_present(work, ctx.now),
+                                 aged,           ctx.config.routing_for(work.name).long_share,
+                                 ctx.now,        work.held_for_long};
         server_state* server = std::visit([&](auto& choose) { return choose(in_zone, query); }, work.choice);
         if (server == nullptr)
             return false;
--- a/src/core/owner_state.hpp
+++ b/src/core/owner_state.hpp
@@ -36,6 +36,8 @@
         std::optional<time_point> last_short;
         // True when the last dispatch was aged work: short work goes next.
         bool aged_went_last = false;
+        // Server whose memory is left to empty for aged long work.
+        const server_state* held_for_long = nullptr;
         // Moving average of the time from start to end, in seconds.
         double run_seconds = 1;
         // Answers whose token gaps the cost model has learned.
@@ -76,6 +78,7 @@
     void pump_all(context& ctx);
     bool pump_fair(service_work& work, context& ctx);
     bool try_lane(service_work& work, lane from, bool aged, context& ctx);
+    void hold_for_aged_long(service_work& work, context& ctx);
     bool pump_plain(service_work& work, context& ctx);
     bool pump_suspects(service_work& work, context& ctx);
     bool fail_if_infeasible(attempt_record& record, service_work& work, context& ctx);
--- a/src/core/server_choice.cpp
+++ b/src/core/server_choice.cpp
@@ -59,6 +59,10 @@
         return query.request.preferred_server == server.server().name;
     if (query.request.kind == call_kind::plain)
         return true;
+    const bool may_use_held = query.request.length == length_class::short_prompt ||
+                              (query.aged && query.request.length == length_class::long_prompt);
+    if (query.held == &server && !may_use_held)
+        return false;
     if (query.request.length >= length_class::long_prompt)
         return fits_long_share(server, query);
     // The engine runs short and medium prompts before long ones, so only their
--- a/src/core/server_choice.hpp
+++ b/src/core/server_choice.hpp
@@ -20,6 +20,8 @@
     bool aged = false;
     double long_share = 0.5;
     time_point now{};
+    // Server that only short work and aged long work may use.
+    const server_state* held = nullptr;
 };
 
 // True when the server has a slot and KV memory for the request, whatever the
--- a/test/correctness/core_owner_cold_start.cpp
+++ b/test/correctness/core_owner_cold_start.cpp
@@ -12,18 +12,18 @@
     cold_start window;
     window.configure(4, 16);
     window.reset();
-    CHECK(window.window() == 2);
+    REQUIRE(window.window() == 2);
     for (int i = 0; i < 7; ++i)
         window.on_completed(window.epoch(), 2);
-    CHECK(window.window() == 2);
+    REQUIRE(window.window() == 2);
     window.on_completed(window.epoch(), 2);
-    CHECK(window.window() == 3);
+    REQUIRE(window.window() == 3);
     // A completion below the full window proves nothing new.
     window.on_completed(window.epoch(), 2);
-    CHECK(window.window() == 3);
+    REQUIRE(window.window() == 3);
     for (int i = 0; i < 100; ++i)
         window.on_completed(window.epoch(), window.window());
-    CHECK(window.window() == 16);
+    REQUIRE(window.window() == 16);
     std::cout << "cold window growth: passed\n";
 }
 
@@ -35,6 +35,6 @@
     window.reset();
     for (int i = 0; i < 100; ++i)
         window.on_completed(before, 16);
-    CHECK(window.window() == 1);
+    REQUIRE(window.window() == 1);
     std::cout << "cold window reset: passed\n";
 }
--- a/test/correctness/core_owner_cold_two_owners.cpp
+++ b/test/correctness/core_owner_cold_two_owners.cpp
@@ -118,7 +118,7 @@
             break;
         most = std::max(most, server.settle());
     }
-    CHECK(completed == 2 * cold_capacity);
-    CHECK(most <= static_cast<std::size_t>(cold_capacity));
+    REQUIRE(completed == 2 * cold_capacity);
+    REQUIRE(most <= static_cast<std::size_t>(cold_capacity));
     std::cout << "two owners, cold capacity " << cold_capacity << ", most at once " << most << ": passed\n";
 }
--- a/test/correctness/core_owner_duplicates.cpp
+++ b/test/correctness/core_owner_duplicates.cpp
@@ -27,16 +27,16 @@
     bench.add_server("s1");
     const submit message = bench.send(bench.make_submit());
     bench.send(message);
-    CHECK(bench.answers<submit_accepted>(message).size() == 2);
+    REQUIRE(bench.answers<submit_accepted>(message).size() == 2);
     bench.finish(message);
     bench.send(message);
-    CHECK(bench.answers<attempt_finished>(message).size() == 2);
+    REQUIRE(bench.answers<attempt_finished>(message).size() == 2);
     // After the resend buffer is gone the end is still known.
     bench.run_for(std::chrono::seconds(20));
     bench.send(message);
-    CHECK(bench.answers<attempt_finished>(message).size() == 3);
-    CHECK(bench.answers<submit_bounced>(message).empty());
-    CHECK(bench.all<open_stream>().size() == 1);
+    REQUIRE(bench.answers<attempt_finished>(message).size() == 3);
+    REQUIRE(bench.answers<submit_bounced>(message).empty());
+    REQUIRE(bench.all<open_stream>().size() == 1);
     std::cout << "duplicate submits: passed\n";
 }
 
@@ -46,12 +46,12 @@
     const submit late = bench.make_submit();
     query(bench, late, 0);
     REQUIRE(bench.answers<attempt_status>(late).size() == 1);
-    CHECK(bench.answers<attempt_status>(late)[0].state == attempt_state::unknown);
+    REQUIRE(bench.answers<attempt_status>(late)[0].state == attempt_state::unknown);
     bench.run_for(std::chrono::seconds(60));
     bench.send(late);
     REQUIRE(bench.answers<submit_bounced>(late).size() == 1);
-    CHECK(bench.answers<submit_bounced>(late)[0].reason == bounce_reason::tombstoned);
-    CHECK(bench.all<open_stream>().empty());
+    REQUIRE(bench.answers<submit_bounced>(late)[0].reason == bounce_reason::tombstoned);
+    REQUIRE(bench.all<open_stream>().empty());
     std::cout << "tombstones: passed\n";
 }
 
@@ -61,8 +61,8 @@
     const submit late = bench.make_submit();
     cancel(bench, late);
     bench.send(late);
-    CHECK(bench.answers<submit_bounced>(late).size() == 1);
-    CHECK(bench.all<open_stream>().empty());
+    REQUIRE(bench.answers<submit_bounced>(late).size() == 1);
+    REQUIRE(bench.all<open_stream>().empty());
     std::cout << "cancel before submit: passed\n";
 }
 
@@ -75,8 +75,8 @@
     query(bench, message, 1);
     const auto resent = bench.answers<attempt_tokens>(message);
     REQUIRE(resent.size() == 1);
-    CHECK(resent[0].first_index == 1);
-    CHECK(resent[0].tokens == std::vector<std::string>{"b", "c"});
-    CHECK(bench.answers<attempt_finished>(message).size() == 1);
+    REQUIRE(resent[0].first_index == 1);
+    REQUIRE(resent[0].tokens == std::vector<std::string>{"b", "c"});
+    REQUIRE(bench.answers<attempt_finished>(message).size() == 1);
     std::cout << "resend by query: passed\n";
 }
--- a/test/correctness/core_owner_fairness.cpp
+++ b/test/correctness/core_owner_fairness.cpp
@@ -34,7 +34,7 @@
     }
     // 10,000 tokens of the small account may pass at most as many of the
     // large one, and the request that was next.
-    CHECK(tokens["large"] <= 10'000 + 30'000);
+    REQUIRE(tokens["large"] <= 10'000 + 30'000);
     std::cout << "fairness between accounts: passed\n";
 }
 
@@ -49,8 +49,8 @@
         ++taken[queue.next()->account.value];
         queue.take();
     }
-    CHECK(taken["heavy"] >= 290);
-    CHECK(taken["heavy"] <= 310);
+    REQUIRE(taken["heavy"] >= 290);
+    REQUIRE(taken["heavy"] <= 310);
     std::cout << "weights: passed\n";
 }
 
@@ -61,11 +61,11 @@
         work.deadline -= std::chrono::seconds(i);
         queue.push(work, queue_order::fair);
     }
-    CHECK(queue.next()->attempt.request.sequence == 4);
+    REQUIRE(queue.next()->attempt.request.sequence == 4);
     // Shedding drops the work that can wait longest.
-    CHECK(queue.most_sheddable()->attempt.request.sequence == 0);
-    CHECK(queue.remove(queue.next()->attempt));
-    CHECK(queue.next()->attempt.request.sequence == 3);
-    CHECK(queue.size() == 4);
+    REQUIRE(queue.most_sheddable()->attempt.request.sequence == 0);
+    REQUIRE(queue.remove(queue.next()->attempt));
+    REQUIRE(queue.next()->attempt.request.sequence == 3);
+    REQUIRE(queue.size() == 4);
     std::cout << "earliest deadline first: passed\n";
 }
--- a/test/correctness/core_owner_handover.cpp
+++ b/test/correctness/core_owner_handover.cpp
@@ -12,11 +12,11 @@
     owner_bench bench;
     bench.add_server("s1", false);
     const submit message = bench.send(bench.make_submit());
-    CHECK(bench.answers<submit_accepted>(message).size() == 1);
+    REQUIRE(bench.answers<submit_accepted>(message).size() == 1);
     bench.run_for(std::chrono::milliseconds(1'950));
-    CHECK(bench.all<open_stream>().empty());
+    REQUIRE(bench.all<open_stream>().empty());
     bench.run_for(std::chrono::milliseconds(100));
-    CHECK(bench.all<open_stream>().size() == 1);
+    REQUIRE(bench.all<open_stream>().size() == 1);
 
     owner_bench released;
     released.add_server("s1", false);
@@ -24,7 +24,7 @@
     const server_name name("s1");
     auto context = released.ctx();
     released.owner.on_release({host_name("entry-2"), 1}, std::span(&name, 1), context);
-    CHECK(released.all<open_stream>().size() == 1);
+    REQUIRE(released.all<open_stream>().size() == 1);
     std::cout << "handover wait: passed\n";
 }
 
@@ -36,8 +36,8 @@
     for (int i = 0; i < 4; ++i)
         bench.send(bench.make_submit());
     // The window is half of the cold capacity of 8.
-    CHECK(bench.all<open_stream>().size() == 1);
+    REQUIRE(bench.all<open_stream>().size() == 1);
     bench.list("s1", {});
-    CHECK(bench.all<open_stream>().size() == 4);
+    REQUIRE(bench.all<open_stream>().size() == 4);
     std::cout << "foreign work: passed\n";
 }
--- a/test/correctness/core_owner_isolation.cpp
+++ b/test/correctness/core_owner_isolation.cpp
@@ -26,13 +26,13 @@
     for (int i = 0; i < 6; ++i)
         longs.push_back(bench.send(bench.make_submit(long_tokens)));
     // One long prefill at a time.
-    CHECK(count_running(bench, longs) == 1);
+    REQUIRE(count_running(bench, longs) == 1);
     // A short request starts at once, with a higher engine priority.
     const submit second = bench.send(bench.make_submit());
-    CHECK(bench.server_of(second) == "s1");
+    REQUIRE(bench.server_of(second) == "s1");
     const auto opened = bench.all<open_stream>();
-    CHECK(opened[1].priority == priority_long);
-    CHECK(opened[2].priority == priority_short);
+    REQUIRE(opened[1].priority == priority_long);
+    REQUIRE(opened[2].priority == priority_short);
     std::cout << "one long prefill beside short work: passed\n";
 }
 
@@ -43,7 +43,7 @@
     for (int i = 0; i < 6; ++i)
         longs.push_back(bench.send(bench.make_submit(long_tokens)));
     // 400,000 tokens of KV memory hold four of them.
-    CHECK(count_running(bench, longs) == 4);
+    REQUIRE(count_running(bench, longs) == 4);
     std::cout << "long work alone: passed\n";
 }
 
@@ -68,7 +68,38 @@
         bench.run_for(std::chrono::milliseconds(100));
         bench.report("s1", 1);
     }
-    CHECK(bench.server_of(long_one) == "s1");
-    CHECK(bench.now < time_point{std::chrono::seconds(1'007)});
+    REQUIRE(bench.server_of(long_one) == "s1");
+    REQUIRE(bench.now < time_point{std::chrono::seconds(1'007)});
     std::cout << "long work ages: passed\n";
 }
+
+TEST_CASE("long work gets memory that medium work would refill for ever") {
+    owner_bench bench(16);
+    bench.add_server("s1");
+    const auto keep_running = [&](std::vector<submit>& mediums) {
+        for (submit& message : mediums) {
+            bench.feed(stream_tokens{server_name("s1"), bench.stream_of(message), 0, {"x"}});
+            bench.feed(stream_heartbeat{server_name("s1"), bench.stream_of(message)});
+        }
+    };
+    std::vector<submit> mediums;
+    for (int i = 0; i < 16; ++i) {
+        mediums.push_back(bench.send(bench.make_submit(32'000)));
+        keep_running(mediums);
+    }
+    const submit long_one = bench.send(bench.make_submit(300'000));
+    for (int i = 0; i < 150 && bench.server_of(long_one).empty(); ++i) {
+        const auto ended =
+            std::ranges::find_if(mediums, [&](const submit& message) { return !bench.server_of(message).empty(); });
+        if (ended != mediums.end()) {
+            const submit message = *ended;
+            mediums.erase(ended);
+            bench.feed(stream_finished{server_name("s1"), bench.stream_of(message), 1, 0, "stop"});
+            mediums.push_back(bench.send(bench.make_submit(32'000)));
+        }
+        keep_running(mediums);
+        bench.run_for(std::chrono::milliseconds(100));
+    }
+    REQUIRE(bench.server_of(long_one) == "s1");
+    std::cout << "memory for aged long work: passed\n";
+}
--- a/test/correctness/core_owner_stream.cpp
+++ b/test/correctness/core_owner_stream.cpp
@@ -16,8 +16,8 @@
     message.generated = {"a", "b"};
     bench.send(message);
     REQUIRE(bench.server_of(message) == "s1");
-    CHECK(bench.answers<submit_accepted>(message).size() == 1);
-    CHECK(bench.owner.running() == 1);
+    REQUIRE(bench.answers<submit_accepted>(message).size() == 1);
+    REQUIRE(bench.owner.running() == 1);
 
     const std::string stream = bench.stream_of(message);
     bench.feed(stream_opened{server_name("s1"), stream});
@@ -28,15 +28,15 @@
 
     const auto parts = bench.answers<attempt_tokens>(message);
     REQUIRE(parts.size() == 2);
-    CHECK(parts[1].first_index == 4);
-    CHECK(parts[1].tokens == std::vector<std::string>{"e"});
+    REQUIRE(parts[1].first_index == 4);
+    REQUIRE(parts[1].tokens == std::vector<std::string>{"e"});
     const auto ends = bench.answers<attempt_finished>(message);
     REQUIRE(ends.size() == 1);
     answer_checksum expected;
     for (const char* token : {"a", "b", "c", "d", "e"})
         expected.add(token);
-    CHECK(ends[0].token_count == 5);
-    CHECK(ends[0].checksum == expected.value());
-    CHECK(bench.owner.running() == 0);
+    REQUIRE(ends[0].token_count == 5);
+    REQUIRE(ends[0].checksum == expected.value());
+    REQUIRE(bench.owner.running() == 0);
     std::cout << "owner streams one answer: passed\n";
 }
--- a/test/error/core_owner_cold_again.cpp
+++ b/test/error/core_owner_cold_again.cpp
@@ -42,13 +42,13 @@
     owner_bench bench = make_warm();
     bench.report("s1", 2);
     bench.list("s1", {}, 2);
-    CHECK(count_started(bench) == cold_window);
+    REQUIRE(count_started(bench) == cold_window);
     std::cout << "restart makes cold: passed\n";
 }
 
 TEST_CASE("a warm server carries its warm capacity") {
     owner_bench bench = make_warm();
-    CHECK(count_started(bench) == 16);
+    REQUIRE(count_started(bench) == 16);
     std::cout << "warm capacity: passed\n";
 }
 
@@ -56,7 +56,7 @@
     owner_bench bench = make_warm();
     bench.fail(bench.send(bench.make_submit()), backend_failure::overloaded);
     bench.run_for(std::chrono::milliseconds(300));
-    CHECK(count_started(bench) + 1 == cold_window);
+    REQUIRE(count_started(bench) + 1 == cold_window);
     std::cout << "refusal makes cold: passed\n";
 }
 
@@ -73,6 +73,6 @@
             bench.feed(stream_heartbeat{server_name("s1"), bench.stream_of(message)});
         bench.report("s1", 1);
     }
-    CHECK(count_started(bench) == 0);
+    REQUIRE(count_started(bench) == 0);
     std::cout << "stopped answers make cold: passed\n";
 }
--- a/test/error/core_owner_deadlines.cpp
+++ b/test/error/core_owner_deadlines.cpp
@@ -16,14 +16,14 @@
     message.time_left = std::chrono::seconds(3);
     bench.send(message);
     REQUIRE(bench.owner.queued() == 1);
-    CHECK(bench.owner.next_wakeup() <= bench.now + message.time_left);
+    REQUIRE(bench.owner.next_wakeup() <= bench.now + message.time_left);
     bench.run_for(std::chrono::seconds(3));
     const auto failed = bench.answers<attempt_failed>(message);
     REQUIRE(failed.size() == 1);
-    CHECK(failed[0].reason == attempt_failure::deadline_passed);
-    CHECK(failed[0].ran == ran_state::no);
-    CHECK(bench.owner.queued() == 0);
-    CHECK(bench.all<open_stream>().empty());
+    REQUIRE(failed[0].reason == attempt_failure::deadline_passed);
+    REQUIRE(failed[0].ran == ran_state::no);
+    REQUIRE(bench.owner.queued() == 0);
+    REQUIRE(bench.all<open_stream>().empty());
     std::cout << "queue deadline: passed\n";
 }
 
@@ -38,9 +38,9 @@
     bench.run_for(std::chrono::seconds(1));
     const auto failed = bench.answers<attempt_failed>(message);
     REQUIRE(failed.size() == 1);
-    CHECK(failed[0].ran == ran_state::yes);
+    REQUIRE(failed[0].ran == ran_state::yes);
     REQUIRE(bench.all<cancel_stream>().size() == 1);
-    CHECK(bench.all<cancel_stream>()[0].stream == bench.stream_of(message));
+    REQUIRE(bench.all<cancel_stream>()[0].stream == bench.stream_of(message));
     std::cout << "running deadline: passed\n";
 }
 
@@ -51,11 +51,11 @@
     const submit queued = bench.send(bench.make_submit());
     auto context = bench.ctx();
     bench.owner.begin_drain(context);
-    CHECK(bench.answers<submit_bounced>(queued).size() == 1);
+    REQUIRE(bench.answers<submit_bounced>(queued).size() == 1);
     bench.finish(running);
-    CHECK(bench.answers<attempt_finished>(running).size() == 1);
-    CHECK(bench.answers<submit_bounced>(bench.send(bench.make_submit())).empty() == false);
-    CHECK(bench.all<open_stream>().size() == 1);
+    REQUIRE(bench.answers<attempt_finished>(running).size() == 1);
+    REQUIRE(bench.answers<submit_bounced>(bench.send(bench.make_submit())).empty() == false);
+    REQUIRE(bench.all<open_stream>().size() == 1);
     std::cout << "drain: passed\n";
 }
 
@@ -66,9 +66,9 @@
     const submit queued = bench.send(bench.make_submit());
     auto context = bench.ctx();
     bench.owner.lose(server_name("s1"), context);
-    CHECK(bench.answers<submit_bounced>(queued).size() == 1);
-    CHECK(bench.owner.running() == 1);
+    REQUIRE(bench.answers<submit_bounced>(queued).size() == 1);
+    REQUIRE(bench.owner.running() == 1);
     bench.finish(running);
-    CHECK(bench.answers<attempt_finished>(running).size() == 1);
+    REQUIRE(bench.answers<attempt_finished>(running).size() == 1);
     std::cout << "lost server: passed\n";
 }
--- a/test/error/core_owner_parts.cpp
+++ b/test/error/core_owner_parts.cpp
@@ -46,12 +46,12 @@
     REQUIRE(bench.all<reserve_memory>().size() == 1);
     bench.feed(memory_reserved{part.server, part.reservation, true});
     REQUIRE(bench.answers<part_answer>(message).size() == 1);
-    CHECK(bench.answers<part_answer>(message)[0].granted);
+    REQUIRE(bench.answers<part_answer>(message)[0].granted);
     // The memory is taken: a second part of this size does not fit.
     const submit other = bench.make_submit(600'000);
     reserve(bench, make_part(other, "s1", 300'000));
     REQUIRE(bench.answers<part_answer>(other).size() == 1);
-    CHECK(!bench.answers<part_answer>(other)[0].granted);
+    REQUIRE(!bench.answers<part_answer>(other)[0].granted);
 
     bench.run_for(std::chrono::milliseconds(5'200));
     REQUIRE(bench.all<release_memory>().size() == 1);
@@ -59,7 +59,7 @@
     bench.owner.on_confirm_part(self, {part.attempt, part.server, part.reservation}, context);
     bench.list("s1", {});
     bench.owner.on_confirm_part(self, {part.attempt, part.server, part.reservation}, context);
-    CHECK(!bench.answers<part_answer>(message).back().granted);
+    REQUIRE(!bench.answers<part_answer>(message).back().granted);
     std::cout << "part expiry: passed\n";
 }
 
@@ -68,14 +68,14 @@
     bench.add_server("s1");
     bench.add_server("s2");
     const submit message = start_group(bench);
-    CHECK(bench.server_of(message) == "s1");
-    CHECK(bench.all<reserve_memory>().back().expires_in == duration::zero());
+    REQUIRE(bench.server_of(message) == "s1");
+    REQUIRE(bench.all<reserve_memory>().back().expires_in == duration::zero());
     bench.run_for(std::chrono::milliseconds(1'900));
-    CHECK(bench.all<release_memory>().empty());
+    REQUIRE(bench.all<release_memory>().empty());
     auto context = bench.ctx();
     const memory_part& part = message.parts[0];
     bench.owner.on_release_part(self, {message.attempt, part.server, part.reservation}, context);
-    CHECK(bench.all<release_memory>().size() == 1);
+    REQUIRE(bench.all<release_memory>().size() == 1);
     std::cout << "confirmed part: passed\n";
 }
 
@@ -89,10 +89,10 @@
     REQUIRE(asked.server == server_name("s3"));
     bench.feed(memory_reserved{asked.server, asked.reservation, true});
     REQUIRE(bench.all<replace_part>().size() == 1);
-    CHECK(bench.all<replace_part>()[0].lost_server == server_name("s2"));
-    CHECK(bench.all<replace_part>()[0].replacement == memory_part{asked.server, asked.reservation, 300'000});
+    REQUIRE(bench.all<replace_part>()[0].lost_server == server_name("s2"));
+    REQUIRE(bench.all<replace_part>()[0].replacement == memory_part{asked.server, asked.reservation, 300'000});
     bench.finish(message);
-    CHECK(bench.all<release_memory>().back().reservation == asked.reservation);
+    REQUIRE(bench.all<release_memory>().back().reservation == asked.reservation);
     std::cout << "part replaced: passed\n";
 }
 
@@ -103,7 +103,7 @@
     const submit message = start_group(bench);
     bench.feed(load_failed{server_name("s2"), backend_failure::refused});
     REQUIRE(bench.answers<attempt_failed>(message).size() == 1);
-    CHECK(bench.answers<attempt_failed>(message)[0].reason == attempt_failure::part_lost);
-    CHECK(bench.all<cancel_stream>().size() == 1);
+    REQUIRE(bench.answers<attempt_failed>(message)[0].reason == attempt_failure::part_lost);
+    REQUIRE(bench.all<cancel_stream>().size() == 1);
     std::cout << "part lost: passed\n";
 }
--- a/test/error/core_owner_refused.cpp
+++ b/test/error/core_owner_refused.cpp
@@ -15,11 +15,11 @@
     const submit message = bench.send(bench.make_submit());
     const std::string first = bench.server_of(message);
     bench.fail(message, backend_failure::refused);
-    CHECK(bench.server_of(message) != first);
-    CHECK(bench.answers<attempt_failed>(message).empty());
+    REQUIRE(bench.server_of(message) != first);
+    REQUIRE(bench.answers<attempt_failed>(message).empty());
     // The dead server takes nothing while it does not answer polls.
     for (int i = 0; i < 4; ++i)
-        CHECK(bench.server_of(bench.send(bench.make_submit())) != first);
+        REQUIRE(bench.server_of(bench.send(bench.make_submit())) != first);
     std::cout << "owner moves refused attempts: passed\n";
 }
 
@@ -28,10 +28,10 @@
     bench.add_server("s1");
     const submit message = bench.send(bench.make_submit());
     bench.fail(message, backend_failure::overloaded);
-    CHECK(bench.owner.queued() == 1);
-    CHECK(bench.all<open_stream>().size() == 1);
+    REQUIRE(bench.owner.queued() == 1);
+    REQUIRE(bench.all<open_stream>().size() == 1);
     bench.run_for(std::chrono::milliseconds(300));
-    CHECK(bench.all<open_stream>().size() == 2);
-    CHECK(bench.answers<attempt_failed>(message).empty());
+    REQUIRE(bench.all<open_stream>().size() == 2);
+    REQUIRE(bench.answers<attempt_failed>(message).empty());
     std::cout << "owner queues overloaded attempts: passed\n";
 }
--- a/test/error/core_owner_silence.cpp
+++ b/test/error/core_owner_silence.cpp
@@ -16,12 +16,12 @@
     bench.feed(stream_tokens{server_name("s1"), stream, 0, {"a", "b"}});
     bench.run_for(std::chrono::milliseconds(2'100));
     REQUIRE(bench.all<reopen_stream>().size() == 1);
-    CHECK(bench.all<reopen_stream>()[0].from_index == 2);
+    REQUIRE(bench.all<reopen_stream>()[0].from_index == 2);
     // A sign of life ends the row of silences.
     bench.feed(stream_heartbeat{server_name("s1"), stream});
     bench.run_for(std::chrono::milliseconds(2'100));
-    CHECK(bench.all<reopen_stream>().size() == 2);
-    CHECK(bench.answers<attempt_failed>(message).empty());
+    REQUIRE(bench.all<reopen_stream>().size() == 2);
+    REQUIRE(bench.answers<attempt_failed>(message).empty());
     std::cout << "silent stream reopened: passed\n";
 }
 
@@ -32,13 +32,13 @@
     bench.run_for(std::chrono::milliseconds(4'300));
     const auto failed = bench.answers<attempt_failed>(message);
     REQUIRE(failed.size() == 1);
-    CHECK(failed[0].reason == attempt_failure::server_died);
-    CHECK(failed[0].strikes == 1);
+    REQUIRE(failed[0].reason == attempt_failure::server_died);
+    REQUIRE(failed[0].strikes == 1);
     // The stream may still run there.
-    CHECK(bench.all<cancel_stream>().size() == 1);
+    REQUIRE(bench.all<cancel_stream>().size() == 1);
     // No other server is left.
-    CHECK(bench.answers<submit_bounced>(bench.send(bench.make_submit())).size() == 1);
-    CHECK(bench.all<open_stream>().size() == 1);
+    REQUIRE(bench.answers<submit_bounced>(bench.send(bench.make_submit())).size() == 1);
+    REQUIRE(bench.all<open_stream>().size() == 1);
     std::cout << "two silences: passed\n";
 }
 
@@ -50,13 +50,13 @@
     bench.feed(stream_tokens{server_name("s1"), bench.stream_of(message), 0, {"a"}});
     bench.now += std::chrono::seconds(1);
     bench.fail(message, backend_failure::reset);
-    CHECK(bench.all<reopen_stream>().size() == 1);
+    REQUIRE(bench.all<reopen_stream>().size() == 1);
     bench.fail(message, backend_failure::unknown_stream);
     bench.list("s1", {}, restarted ? 2 : 1);
     const auto failed = bench.answers<attempt_failed>(message);
     REQUIRE(failed.size() == 1);
-    CHECK(failed[0].ran == ran_state::yes);
-    CHECK(failed[0].strikes == (restarted ? 1 : 0));
+    REQUIRE(failed[0].ran == ran_state::yes);
+    REQUIRE(failed[0].strikes == (restarted ? 1 : 0));
     std::cout << "lost stream, restarted " << restarted << ": passed\n";
 }
 
@@ -70,14 +70,14 @@
     bench.feed(service_failed{server, order.attempt, backend_failure::reset});
     const auto failed = bench.answers<attempt_failed>(order);
     REQUIRE(failed.size() == 1);
-    CHECK(failed[0].ran == ran_state::unknown);
+    REQUIRE(failed[0].ran == ran_state::unknown);
     bench.send(order);
     bench.run_for(std::chrono::seconds(1));
-    CHECK(bench.all<call_service>().size() == 1);
+    REQUIRE(bench.all<call_service>().size() == 1);
 
     // A refused connection proves that the call was not sent.
     const submit second = bench.send(bench.make_call(false));
     bench.feed(service_failed{bench.all<call_service>()[1].server, second.attempt, backend_failure::refused});
-    CHECK(bench.all<call_service>().size() == 3);
+    REQUIRE(bench.all<call_service>().size() == 3);
     std::cout << "calls that must not repeat: passed\n";
 }
--- a/test/error/core_owner_suspects.cpp
+++ b/test/error/core_owner_suspects.cpp
@@ -37,28 +37,28 @@
     REQUIRE(bench.server_of(innocent) == server);
     crash(bench, server, 2);
     REQUIRE(bench.answers<attempt_failed>(culprit).size() == 1);
-    CHECK(bench.answers<attempt_failed>(culprit)[0].strikes == 1);
-    CHECK(bench.answers<attempt_failed>(innocent)[0].strikes == 1);
+    REQUIRE(bench.answers<attempt_failed>(culprit)[0].strikes == 1);
+    REQUIRE(bench.answers<attempt_failed>(innocent)[0].strikes == 1);
 
     const submit first = bench.send(retry(culprit));
     const submit second = bench.send(retry(innocent));
     // One suspect at a time, on a server with nothing else.
     const std::string alone = bench.server_of(first);
     REQUIRE(!alone.empty());
-    CHECK(bench.server_of(second).empty());
+    REQUIRE(bench.server_of(second).empty());
     for (int i = 0; i < 3; ++i)
-        CHECK(bench.server_of(bench.send(bench.make_submit())) != alone);
+        REQUIRE(bench.server_of(bench.send(bench.make_submit())) != alone);
     crash(bench, alone, 3);
-    CHECK(bench.answers<attempt_failed>(first)[0].strikes == 2);
-    CHECK(bench.server_of(second) != "");
+    REQUIRE(bench.answers<attempt_failed>(first)[0].strikes == 2);
+    REQUIRE(bench.server_of(second) != "");
     bench.finish(second);
-    CHECK(bench.owner.evidence().strikes(innocent.fingerprint, bench.now) == 0);
+    REQUIRE(bench.owner.evidence().strikes(innocent.fingerprint, bench.now) == 0);
 
     submit again = retry(first);
     again.attempt.number = 9;
     bench.send(again);
     REQUIRE(bench.answers<submit_bounced>(again).size() == 1);
-    CHECK(bench.answers<submit_bounced>(again)[0].reason == bounce_reason::held_as_crashing);
+    REQUIRE(bench.answers<submit_bounced>(again)[0].reason == bounce_reason::held_as_crashing);
     std::cout << "suspects run alone: passed\n";
 }
 
@@ -73,12 +73,12 @@
     here.on_gossip(there.export_strikes(later), later);
     here.on_completed(fingerprint);
     here.on_gossip(there.export_strikes(later), later);
-    CHECK(here.strikes(fingerprint, later) == 0);
+    REQUIRE(here.strikes(fingerprint, later) == 0);
     there.on_gossip(here.export_strikes(later), later);
-    CHECK(there.strikes(fingerprint, later) == 0);
+    REQUIRE(there.strikes(fingerprint, later) == 0);
     // Strikes expire.
     there.on_server_death(std::span(&fingerprint, 1), false, later);
-    CHECK(there.strikes(fingerprint, later + std::chrono::minutes(9)) == 1);
-    CHECK(there.strikes(fingerprint, later + std::chrono::minutes(11)) == 0);
+    REQUIRE(there.strikes(fingerprint, later + std::chrono::minutes(9)) == 1);
+    REQUIRE(there.strikes(fingerprint, later + std::chrono::minutes(11)) == 0);
     std::cout << "clearance by gossip: passed\n";
 }
--- a/test/error/core_owner_sweep.cpp
+++ b/test/error/core_owner_sweep.cpp
@@ -39,11 +39,11 @@
     bench.list("s1", streams);
     bench.now += std::chrono::seconds(5);
     bench.list("s1", streams);
-    CHECK(bench.all<cancel_stream>().empty());
+    REQUIRE(bench.all<cancel_stream>().empty());
     bench.now += std::chrono::seconds(6);
     bench.list("s1", streams);
     REQUIRE(bench.all<cancel_stream>().size() == 1);
-    CHECK(bench.all<cancel_stream>()[0].stream == streams[1].stream);
+    REQUIRE(bench.all<cancel_stream>()[0].stream == streams[1].stream);
     std::cout << "sweep of dead owners: passed\n";
 }
 
@@ -57,7 +57,7 @@
         bench.list("s1", {own, stream_by("entry-2", true), stream_by("entry-3", true), {"not ours", 1, false, {}}});
         bench.now += std::chrono::seconds(5);
     }
-    CHECK(bench.all<cancel_stream>().empty());
+    REQUIRE(bench.all<cancel_stream>().empty());
     std::cout << "sweep spares live streams: passed\n";
 }
 
@@ -66,9 +66,9 @@
     bench.add_server("s1");
     const listed_stream forgotten{"entry-2.1.5.1.entry-1.42", 1'000, false, {}};
     bench.list("s1", {forgotten});
-    CHECK(bench.all<cancel_stream>().empty());
+    REQUIRE(bench.all<cancel_stream>().empty());
     bench.list("s1", {forgotten});
-    CHECK(bench.all<cancel_stream>().size() == 1);
+    REQUIRE(bench.all<cancel_stream>().size() == 1);
     std::cout << "sweep of forgotten streams: passed\n";
 }
 
@@ -81,7 +81,7 @@
     bench.send(message);
     REQUIRE(bench.owner.running() == 1);
     bench.run_for(std::chrono::milliseconds(200));
-    CHECK(bench.owner.running() == 0);
-    CHECK(bench.all<cancel_stream>().size() == 1);
+    REQUIRE(bench.owner.running() == 0);
+    REQUIRE(bench.all<cancel_stream>().size() == 1);
     std::cout << "dead caller side: passed\n";
 }
--- a/test/performance/core_owner.cpp
+++ b/test/performance/core_owner.cpp
@@ -93,5 +93,5 @@
     const std::chrono::nanoseconds p99 = times[times.size() * 99 / 100];
     std::cout << "submit at " << servers << " servers, load " << load << ", mean queue " << queued / measured_submits
               << ": p50 " << times[times.size() / 2].count() << " ns, p99 " << p99.count() << " ns\n";
-    CHECK(p99 < p99_bound);
+    REQUIRE(p99 < p99_bound);
 }
