--- a/apps/custom_policy.cpp
+++ b/apps/custom_policy.cpp
@@ -23,7 +23,7 @@
     room.servers = 2;
     room.free_slots = static_cast<std::uint16_t>(free_slots);
     room.in_flight = static_cast<std::uint16_t>(32 - free_slots);
-    room.free_short_tokens = 4'000 * free_slots;
+    room.free_short_tokens = std::int64_t{4'000} * free_slots;
     room.largest_free_kv_tokens = 100'000;
     room.short_wait = wait;
     room.long_wait = wait;
--- a/include/verbenahold/types.hpp
+++ b/include/verbenahold/types.hpp
@@ -37,7 +37,7 @@
     explicit basic_name(const char* text) : value(text) {}
 
     [[nodiscard]] bool empty() const { return value.empty(); }
-    auto operator<=>(const basic_name&) const = default;  // NOLINT(modernize-use-nullptr): clang-tidy 14 misreads <=>
+    auto operator<=>(const basic_name&) const = default;
     bool operator==(const basic_name&) const = default;
 };
 
@@ -83,7 +83,7 @@
 struct endpoint {
     std::string address;
 
-    auto operator<=>(const endpoint&) const = default;  // NOLINT(modernize-use-nullptr): clang-tidy 14 misreads <=>
+    auto operator<=>(const endpoint&) const = default;
     bool operator==(const endpoint&) const = default;
 };
 
