--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -39,9 +39,21 @@
 for address in "${service_addresses[@]}"; do flags+=(--service-address "$address"); done
 third=$((seconds / 3))
 echo "running a mixed load for $seconds s; zone-b goes out after $third s and returns after $((2 * third)) s"
+# Requests answered so far, over all entries.
+count_answered() {
+  for entry in "${entries[@]}"; do curl -fsS "http://$entry/metrics"; done |
+    awk '/^verbenahold_requests_answered_total/ { sum += $2 } END { print sum + 0 }'
+}
+
 "$bin/verbenahold-load" "${flags[@]}" --zone zone-a --account demo-key --model demo-llm --service demo-shop \
   --rate 3 --duration-s "$seconds" --seed 7 --length-cap 500000 --control "$control" --operator-key "$operator_key" \
   --zone-event "$third:zone-b:out" --zone-event "$((2 * third)):zone-b:in" \
-  --json "$fleet_folder/result.json" --svg "${DEMO_PICTURE:-build/demo.svg}"
+  --json "$fleet_folder/result.json" --svg "${DEMO_PICTURE:-build/demo.svg}" &
+load=$!
+while kill -0 "$load" 2>/dev/null; do
+  sleep 5
+  echo "  answered so far: $(count_answered)"
+done
+wait "$load"
 scripts/print_result.sh "$fleet_folder/result.json"
 echo "picture: ${DEMO_PICTURE:-build/demo.svg}"
