--- a/src/standins/fault_proxy.cpp
+++ b/src/standins/fault_proxy.cpp
@@ -47,7 +47,9 @@
 
 void proxy_pair::apply(const QJsonObject& faults) {
     if (faults.contains("delay_ms")) {
-        m_delay = std::chrono::milliseconds(faults["delay_ms"].toInteger());
+        // Zones lie fractions of a millisecond apart, which toInteger() reads as 0.
+        m_delay =
+            std::chrono::round<duration>(std::chrono::duration<double, std::milli>(faults["delay_ms"].toDouble()));
     }
     if (faults.contains("drop_new")) {
         m_drops_new = faults["drop_new"].toBool();
@@ -70,6 +72,7 @@
         std::count_if(m_links.begin(), m_links.end(), [](const proxy_link* link) { return link->is_silent(); });
     return {{"listening", "127.0.0.1:" + QString::number(m_server.serverPort())},
             {"target", QString::fromStdString(m_target)},
+            {"delay_ms", std::chrono::duration<double, std::milli>(m_delay).count()},
             {"open", static_cast<qint64>(m_links.size())},
             {"silent", static_cast<qint64>(silent)},
             {"accepted", static_cast<qint64>(m_accepted)},
--- a/test/correctness/io_standin_fault_proxy.cpp
+++ b/test/correctness/io_standin_fault_proxy.cpp
@@ -70,6 +70,9 @@
     QTcpSocket first;
     set.open(first);
     REQUIRE(echoes(first, limit));
+    // Seen: a fraction of a millisecond was read as no delay at all.
+    set.pair.apply({{"delay_ms", 1.5}});
+    CHECK(set.pair.status()["delay_ms"].toDouble() == 1.5);
     set.pair.apply({{"delay_ms", 100}});
     QElapsedTimer clock;
     clock.start();
