--- a/src/core/entry_parts.hpp
+++ b/src/core/entry_parts.hpp
@@ -11,7 +11,6 @@
 
 #include "verbenahold/entry_core.hpp"
 
-#include <deque>
 #include <optional>
 #include <unordered_map>
 #include <vector>
