Give the rollout test's entries names of their own

The rename to entry-N collided with the control processes' hosts in the same test and it failed at its first step; with entry-host-N it passes (196 answers, none failed).

--- a/test/integration/control_drain.cpp
+++ b/test/integration/control_drain.cpp
@@ -72,7 +72,7 @@
                                {"max_tokens", 20},
                                {"stream", false},
                                {"deadline_ms", 30'000}};
-        const std::string entry = name_of("entry-", static_cast<int>(caller) % entries);
+        const std::string entry = name_of("entry-host-", static_cast<int>(caller) % entries);
         return {"POST",
                 m_setup.fleet.address(entry),
                 "/v1/completions",
@@ -104,12 +104,12 @@
                           {name_of("engine-", i), "zone-a", "shade-llm", {"--model-load-ms", "500"}, false});
     }
     for (int i = 0; i < entries; ++i) {
-        setup.fleet.start(member_kind::entry, {name_of("entry-", i), "zone-a", "", {}, false});
+        setup.fleet.start(member_kind::entry, {name_of("entry-host-", i), "zone-a", "", {}, false});
     }
     REQUIRE(setup.run({"apply", "-"}, records("1")).code == 0);
     caller_group group(setup);
     const auto ready = [&](int number) {
-        return call_json("GET", setup.fleet.address(name_of("entry-", number)), "/readyz").status == 200;
+        return call_json("GET", setup.fleet.address(name_of("entry-host-", number)), "/readyz").status == 200;
     };
     REQUIRE(wait_until([&] { return ready(0) && ready(1); }, seconds(20)));
     // The first requests may come before the records and servers are known.
