Serve the stand-ins' admin paths by one function

Cause: the platform and the service held the same twelve lines. Conclusion: no change of behaviour; the fleet test passes.

--- a/src/standins/fake_service.cpp
+++ b/src/standins/fake_service.cpp
@@ -69,14 +69,8 @@
 }
 
 void fake_service::handle_admin(const http_call& call, const shared_reply& reply) {
-    if (call.is("POST", "admin/faults")) {
-        set_faults(call.json().value_or(QJsonObject()));
-        send_json(reply, 200, {});
-    } else if (call.is("GET", "admin/stats")) {
-        send_json(reply, 200, stats());
-    } else {
-        send_error(reply, 404, "unknown_path");
-    }
+    handle_admin_call(
+        call, reply, [this](const QJsonObject& faults) { set_faults(faults); }, [this] { return stats(); });
 }
 
 void fake_service::set_faults(const QJsonObject& faults) {
--- a/src/standins/standin_server.cpp
+++ b/src/standins/standin_server.cpp
@@ -34,6 +34,19 @@
     send_json(reply, status, {{"error", QString::fromLatin1(code)}});
 }
 
+void handle_admin_call(const http_call& call, const shared_reply& reply,
+                       const std::function<void(const QJsonObject&)>& set_faults,
+                       const std::function<QJsonObject()>& stats) {
+    if (call.is("POST", "admin/faults")) {
+        set_faults(call.json().value_or(QJsonObject()));
+        send_json(reply, 200, {});
+    } else if (call.is("GET", "admin/stats")) {
+        send_json(reply, 200, stats());
+    } else {
+        send_error(reply, 404, "unknown_path");
+    }
+}
+
 standin_server::standin_server(const handler& action) {
     for (const char* method : {"GET", "PUT", "POST", "DELETE"}) {
         m_server.add_route(method, "/", [action](const http_request& request, const shared_reply& reply) {
--- a/src/standins/standin_server.hpp
+++ b/src/standins/standin_server.hpp
@@ -28,6 +28,12 @@
 // An error body {"error":code}.
 void send_error(const shared_reply& reply, int status, const char* code);
 
+// Serves "/v1/admin/": POST faults gives the body to `set_faults`, GET stats
+// answers what `stats` returns.
+void handle_admin_call(const http_call& call, const shared_reply& reply,
+                       const std::function<void(const QJsonObject&)>& set_faults,
+                       const std::function<QJsonObject()>& stats);
+
 class standin_server {
 public:
     using handler = std::function<void(const http_call&, const shared_reply&)>;
