Map HTTP failures to the core's in one place

Cause: the clients of engines and services held the same mapping. Change: connection_failure; polls use it too. Conclusion: no change of behaviour; the clients' tests pass.

--- a/src/io/engine_client.cpp
+++ b/src/io/engine_client.cpp
@@ -1,5 +1,7 @@
 #include "engine_client.hpp"
 
+#include "connection_failure.hpp"
+
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
@@ -44,17 +46,8 @@
 }
 
 backend_failure failure_of(const http_answer& answer) {
-    switch (answer.failure) {
-        case http_failure::refused:
-            return backend_failure::refused;
-        case http_failure::reset:
-            return backend_failure::reset;
-        case http_failure::timed_out:
-            return backend_failure::timed_out;
-        case http_failure::bad_answer:
-            return backend_failure::bad_answer;
-        case http_failure::none:
-            break;
+    if (answer.failure != http_failure::none) {
+        return connection_failure(answer.failure);
     }
     switch (answer.status) {
         case 200:
@@ -71,11 +64,6 @@
     }
 }
 
-// Polls expect 200 only; any other status can't be understood as a report.
-backend_failure poll_failure_of(const http_answer& answer) {
-    return answer.failure == http_failure::none ? backend_failure::bad_answer : failure_of(answer);
-}
-
 std::string message_of(const http_answer& answer) {
     const QJsonObject error = QJsonDocument::fromJson(answer.body).object().value("error").toObject();
     return text_of(error.value("message"));
@@ -304,7 +292,7 @@
 
 void engine_client::handle_load(const server_name& server, const endpoint& address, const http_answer& answer) {
     if (!answer.good()) {
-        m_sink(load_failed{server, poll_failure_of(answer)});
+        m_sink(load_failed{server, connection_failure(answer.failure)});
         return;
     }
     const QJsonObject json = QJsonDocument::fromJson(answer.body).object();
@@ -362,7 +350,7 @@
         if (listing) {
             m_sink(*std::move(listing));
         } else {
-            m_sink(load_failed{server, poll_failure_of(answer)});
+            m_sink(load_failed{server, connection_failure(answer.failure)});
         }
     });
 }
--- a/src/io/service_client.cpp
+++ b/src/io/service_client.cpp
@@ -1,5 +1,7 @@
 #include "service_client.hpp"
 
+#include "connection_failure.hpp"
+
 #include <QPointer>
 
 #include <algorithm>
@@ -30,19 +32,6 @@
     return call;
 }
 
-backend_failure failure_of(http_failure failure) {
-    switch (failure) {
-        case http_failure::refused:
-            return backend_failure::refused;
-        case http_failure::reset:
-            return backend_failure::reset;
-        case http_failure::timed_out:
-            return backend_failure::timed_out;
-        default:
-            return backend_failure::bad_answer;
-    }
-}
-
 }  // namespace
 
 service_client::service_client(http_client& client, event_sink sink, QObject* parent)
@@ -64,7 +53,7 @@
 
 void service_client::handle_answer(const server_name& server, const attempt_id& attempt, const http_answer& answer) {
     if (answer.failure != http_failure::none) {
-        m_sink(service_failed{server, attempt, failure_of(answer.failure)});
+        m_sink(service_failed{server, attempt, connection_failure(answer.failure)});
         return;
     }
     m_sink(
