Let a request that has begun wait for a server until its deadline

Cause: a request that lost its server and found no headroom for 5 s was refused as overloaded, although it had been admitted and partly answered. Change: the patience for headroom holds only for requests that never ran. Also: the refusal of an unconfirmed configuration no longer says that the caller was not authenticated, and readyz waits until the members of the host list are known. Before: the new test's request was refused after 5 s. After: it is resumed with its tokens when a server returns, and ends at its deadline without one.

--- a/include/verbenahold/entry_core.hpp
+++ b/include/verbenahold/entry_core.hpp
@@ -37,7 +37,8 @@
     // When the core wants the next tick, if any.
     [[nodiscard]] std::optional<time_point> next_wakeup() const;
 
-    // True when the daemon is a member, has a configuration and takes work.
+    // True when the daemon knows the members of the host list, has a confirmed
+    // configuration and takes work.
     [[nodiscard]] bool ready(time_point now) const;
 
     // Figures for status pages and tests.
--- a/src/core/caller_side.cpp
+++ b/src/core/caller_side.cpp
@@ -17,8 +17,9 @@
 
 // Pause after bounces, before owners are asked again.
 constexpr duration placement_pause = milliseconds(150);
-// A request that finds no headroom anywhere is refused after this time, or
-// after half of its time if that is less, so that its caller learns early.
+// A request that never ran and finds no headroom anywhere is refused after
+// this time, or after half of its time if that is less, so that its caller
+// learns early. One that has begun waits for its deadline: it was admitted.
 constexpr duration placement_patience = seconds(5);
 // Advice to callers refused for lack of headroom.
 constexpr duration overload_retry_after = seconds(1);
@@ -53,7 +54,10 @@
 void caller_side::on_caller_request(const caller_request& request, context& ctx) {
     const auto account = authenticate(request.key_hash, ctx);
     if (const auto* code = std::get_if<refusal>(&account)) {
-        refuse_ticket(request.ticket, *code, "the request was not authenticated", duration::zero(), ctx);
+        const bool unknown_key = *code == refusal::unauthorized;
+        refuse_ticket(request.ticket, *code,
+                      unknown_key ? "unknown account key" : "this entry's configuration is not confirmed",
+                      duration::zero(), ctx);
         return;
     }
     const service_spec* service = ctx.config.find_service(request.service);
@@ -220,7 +224,7 @@
     }
     const duration waited = ctx.now - *request.bounced_since;
     const duration patience = std::min(placement_patience, (request.deadline - *request.bounced_since) / 2);
-    if (waited >= patience) {
+    if (!request.may_have_run && waited >= patience) {
         refuse(request, refusal::overloaded, ran_so_far(request), "no server has headroom", ctx);
         return;
     }
--- a/src/core/entry_parts.cpp
+++ b/src/core/entry_parts.cpp
@@ -146,7 +146,7 @@
 }
 
 bool entry_core::parts::ready(time_point now) const {
-    return !m_drain && m_config.current()->version() > 0 && m_config.is_confirmed(now);
+    return !m_drain && m_members.joined() && m_config.current()->version() > 0 && m_config.is_confirmed(now);
 }
 
 entry_core::figures entry_core::parts::read_figures() const {
