--- a/src/io/logging.cpp
+++ b/src/io/logging.cpp
@@ -1,5 +1,6 @@
 #include "logging.hpp"
 
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/level.h>
@@ -13,6 +14,9 @@
 
 namespace {
 
+// Lines that wait for standard output: some seconds at the rate of a busy daemon.
+constexpr int buffered_lines = 2'000;
+
 const log4cxx::LoggerPtr& daemon_logger() {
     static const log4cxx::LoggerPtr logger = log4cxx::Logger::getLogger("verbenahold");
     return logger;
@@ -20,7 +24,7 @@
 
 }  // namespace
 
-bool configure_logging(std::string_view level) {
+bool configure_logging(std::string_view level, log_target target) {
     const std::map<std::string_view, log4cxx::LevelPtr> levels{
         {"debug", log4cxx::Level::getDebug()},
         {"info", log4cxx::Level::getInfo()},
@@ -32,7 +36,16 @@
         return false;
     }
     const log4cxx::LayoutPtr layout(new log4cxx::PatternLayout(LOG4CXX_STR("%d{ISO8601} %-5p %m%n")));
-    const log4cxx::AppenderPtr appender(new log4cxx::ConsoleAppender(layout, LOG4CXX_STR("System.err")));
+    const bool to_output = target == log_target::standard_output;
+    const auto stream = to_output ? log4cxx::ConsoleAppender::getSystemOut() : log4cxx::ConsoleAppender::getSystemErr();
+    log4cxx::AppenderPtr appender(new log4cxx::ConsoleAppender(layout, stream));
+    if (to_output) {
+        const auto asynchronous = std::make_shared<log4cxx::AsyncAppender>();
+        asynchronous->setBufferSize(buffered_lines);
+        asynchronous->setBlocking(false);
+        asynchronous->addAppender(appender);
+        appender = asynchronous;
+    }
     log4cxx::BasicConfigurator::resetConfiguration();
     log4cxx::BasicConfigurator::configure(appender);
     daemon_logger()->setLevel(found->second);
--- a/src/io/timer_service.cpp
+++ b/src/io/timer_service.cpp
@@ -25,50 +25,27 @@
 }
 
 timer_service::subscription timer_service::add(duration delay, duration period, callback action) {
-    const subscription id = ++m_last;
-    const time_point due = now() + delay;
-    m_entries.emplace(id, entry{std::move(action), period, due});
-    m_queue.emplace(due, id);
+    const subscription id = m_queue.add(now() + delay, period, std::move(action));
     arm();
     return id;
 }
 
 void timer_service::unsubscribe(subscription which) {
-    const auto found = m_entries.find(which);
-    if (found == m_entries.end()) {
-        return;
-    }
-    const auto [first, last] = m_queue.equal_range(found->second.due);
-    const auto queued = std::find_if(first, last, [&](const auto& item) { return item.second == which; });
-    if (queued != last) {
-        m_queue.erase(queued);
-    }
-    m_entries.erase(found);
+    m_queue.remove(which);
 }
 
 void timer_service::arm() {
-    if (m_queue.empty()) {
+    const auto due = m_queue.next_due();
+    if (!due) {
         m_timer.stop();
         return;
     }
-    const duration wait = std::max(duration::zero(), m_queue.begin()->first - now());
+    const duration wait = std::max(duration::zero(), *due - now());
     m_timer.start(std::chrono::ceil<std::chrono::milliseconds>(wait));
 }
 
 void timer_service::run_due() {
-    while (!m_queue.empty() && m_queue.begin()->first <= now()) {
-        const subscription id = m_queue.begin()->second;
-        m_queue.erase(m_queue.begin());
-        const auto found = m_entries.find(id);
-        const callback action = found->second.action;
-        if (found->second.period > duration::zero()) {
-            found->second.due = std::max(found->second.due + found->second.period, now());
-            m_queue.emplace(found->second.due, id);
-        } else {
-            m_entries.erase(found);
-        }
-        action();
-    }
+    m_queue.run_due([this] { return now(); });
     arm();
 }
 
--- a/src/io/timer_service.hpp
+++ b/src/io/timer_service.hpp
@@ -2,23 +2,20 @@
 // are called on the event loop's thread.
 #pragma once
 
+#include "timer_queue.hpp"
+
 #include <QElapsedTimer>
 #include <QObject>
 #include <QTimer>
 
-#include <chrono>
-#include <cstdint>
-#include <functional>
-#include <map>
-
 #include "verbenahold/types.hpp"
 
 namespace verbenahold {
 
 class timer_service : public QObject {
 public:
-    using callback = std::function<void()>;
-    using subscription = std::uint64_t;
+    using callback = timer_queue::callback;
+    using subscription = timer_queue::subscription;
 
     explicit timer_service(QObject* parent = nullptr);
 
@@ -32,21 +29,13 @@
     void unsubscribe(subscription which);
 
 private:
-    struct entry {
-        callback action;
-        duration period{};
-        time_point due{};
-    };
-
     void arm();
     void run_due();
     subscription add(duration delay, duration period, callback action);
 
     QElapsedTimer m_clock;
     QTimer m_timer;
-    subscription m_last = 0;
-    std::map<subscription, entry> m_entries;
-    std::multimap<time_point, subscription> m_queue;
+    timer_queue m_queue;
 };
 
 }  // namespace verbenahold
--- /dev/null
+++ b/src/routing/daemon_view.cpp
@@ -0,0 +1,54 @@
+#include "daemon_view.hpp"
+
+namespace verbenahold::serving {
+
+namespace {
+
+// How long a daemon that fell silent still counts as one that may send.
+constexpr duration peak_memory = std::chrono::seconds(15);
+
+}  // namespace
+
+bool daemon_view::on_status(const daemon_status& status, time_point now) {
+    auto& known = m_alive[status.name];
+    const bool fresh = known.status.boot != status.boot;
+    known = {status, now};
+    return fresh;
+}
+
+void daemon_view::on_leaving(const std::string& name) {
+    const auto found = m_alive.find(name);
+    if (found != m_alive.end()) {
+        found->second.status.accepting = false;
+    }
+}
+
+std::vector<std::uint64_t> daemon_view::take_dead(time_point now) {
+    std::vector<std::uint64_t> dead;
+    std::erase_if(m_alive, [&](const auto& entry) {
+        if (now - entry.second.last_heard < silence_of_the_dead) {
+            return false;
+        }
+        dead.push_back(entry.second.status.boot);
+        return true;
+    });
+    return dead;
+}
+
+std::vector<daemon_status> daemon_view::alive() const {
+    std::vector<daemon_status> statuses;
+    for (const auto& [name, entry] : m_alive) {
+        statuses.push_back(entry.status);
+    }
+    return statuses;
+}
+
+int daemon_view::senders_lately(time_point now) {
+    if (senders() >= m_peak || now - m_peak_at > peak_memory) {
+        m_peak = senders();
+        m_peak_at = now;
+    }
+    return m_peak;
+}
+
+}  // namespace verbenahold::serving
--- /dev/null
+++ b/src/routing/daemon_view.hpp
@@ -0,0 +1,65 @@
+// The daemons that are alive, from what each says of itself at short
+// intervals.
+#pragma once
+
+#include "verbenahold/types.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace verbenahold::serving {
+
+// What a daemon says of itself.
+struct daemon_status {
+    // Differs with each start of a daemon.
+    std::uint64_t boot = 0;
+    std::string name;
+    zone_name zone;
+    // Address for callers.
+    std::string front_address;
+    // Address for other daemons, TCP and UDP.
+    std::string peer_address;
+    // Takes new callers.
+    bool accepting = false;
+    // Versions of the newest rows it knows of what operators and of what
+    // servers write.
+    std::uint64_t operator_rows_version = 0;
+    std::uint64_t server_rows_version = 0;
+};
+
+inline constexpr duration heartbeat_period = std::chrono::milliseconds(300);
+// A daemon that was silent for this long counts as dead: five heartbeats, so
+// that a few lost datagrams in a row don't matter.
+inline constexpr duration silence_of_the_dead = std::chrono::milliseconds(1'600);
+
+class daemon_view {
+public:
+    // True if the daemon wasn't known as alive under this boot.
+    bool on_status(const daemon_status& status, time_point now);
+    // The daemon says that it ends.
+    void on_leaving(const std::string& name);
+    // Boots of daemons that fell silent since the last call.
+    std::vector<std::uint64_t> take_dead(time_point now);
+
+    // Daemons that are alive, without this one.
+    [[nodiscard]] std::vector<daemon_status> alive() const;
+    // All daemons that may send requests, this one included.
+    [[nodiscard]] int senders() const { return static_cast<int>(m_alive.size()) + 1; }
+    // Largest number of senders seen lately: daemons that can't be heard may
+    // still send.
+    [[nodiscard]] int senders_lately(time_point now);
+
+private:
+    struct member {
+        daemon_status status;
+        time_point last_heard{};
+    };
+
+    std::map<std::string, member> m_alive;
+    int m_peak = 1;
+    time_point m_peak_at{};
+};
+
+}  // namespace verbenahold::serving
--- /dev/null
+++ b/src/routing/engine_load.hpp
@@ -0,0 +1,88 @@
+// What the daemons together have given each backend server and how long it
+// will take: work that is read, sequences that write and the length of the
+// passes that follow from them.
+#pragma once
+
+#include "desired_state.hpp"
+
+#include <compare>
+#include <map>
+#include <unordered_map>
+
+namespace verbenahold::serving {
+
+// One request of one daemon; unique while the request lives.
+struct work_id {
+    std::uint64_t daemon = 0;
+    std::uint64_t number = 0;
+    auto operator<=>(const work_id&) const = default;
+};
+
+// What one request asks of one server.
+struct work_item {
+    server_name server;
+    // Time that the server reads for it, in milliseconds; 0 for plain calls.
+    double read_ms = 0;
+    // Tokens of context while it writes; 0 for a server that only helps read.
+    std::int64_t context_tokens = 0;
+    bool writes = true;
+    // Longest pause that the caller accepts; bounds how long passes may get.
+    duration pause_target{};
+};
+
+// Load of one server at one moment.
+struct server_load {
+    // Requests that hold a place: they read or write there.
+    int places = 0;
+    // Writing or reading sequences with a pause target under `short_pause`.
+    int short_sequences = 0;
+    std::int64_t context_tokens = 0;
+    // Time until all reading that was given to the server is done.
+    double backlog_ms = 0;
+};
+
+// Pauses up to this mark interactive streams, which are packed together. It
+// lies between the pause targets of short and of longer prompts.
+inline constexpr duration short_pause = std::chrono::milliseconds(400);
+
+// Milliseconds that one server reads `tokens` of a prompt, alone.
+double reading_ms(const engine_figures& engine, std::int64_t tokens);
+// Milliseconds of a pass in which nothing is read.
+double pass_ms(const engine_figures& engine, const server_load& load);
+
+class engine_load {
+public:
+    // The request was sent to the server; a server may have several items of
+    // one request only if they differ in `server`.
+    void add(work_id id, const work_item& item, time_point now, time_point expires);
+    // The first event came: everything read for the request is done.
+    void reading_done(work_id id, time_point now);
+    void remove(work_id id, time_point now);
+    // The daemon ended: all its requests are gone.
+    void remove_daemon(std::uint64_t daemon, time_point now);
+    // Drops items past their time, whose end was never heard of.
+    void drop_expired(time_point now);
+
+    [[nodiscard]] server_load load_of(const server_name& server, time_point now) const;
+    [[nodiscard]] std::size_t size() const { return m_requests.size(); }
+
+private:
+    struct tracked_request {
+        std::vector<work_item> items;
+        bool reading = true;
+        time_point expires{};
+    };
+    struct tracked_server {
+        server_load load;
+        int reading_items = 0;
+        time_point reading_ends{};
+    };
+
+    void detach(const tracked_request& request, time_point now);
+    void stop_reading(tracked_request& request, time_point now);
+
+    std::map<work_id, tracked_request> m_requests;
+    std::map<server_name, tracked_server> m_servers;
+};
+
+}  // namespace verbenahold::serving
--- /dev/null
+++ b/src/routing/event_splitter.cpp
@@ -0,0 +1,68 @@
+#include "event_splitter.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+namespace verbenahold::serving {
+
+namespace {
+
+// Length of the first event in `text` with its blank line; 0 if incomplete.
+std::size_t event_length(std::string_view text) {
+    std::size_t line_begin = 0;
+    while (line_begin < text.size()) {
+        const auto line_end = text.find('\n', line_begin);
+        if (line_end == std::string_view::npos) {
+            return 0;
+        }
+        auto line = text.substr(line_begin, line_end - line_begin);
+        if (line.ends_with('\r')) {
+            line.remove_suffix(1);
+        }
+        if (line.empty()) {
+            return line_end + 1;
+        }
+        line_begin = line_end + 1;
+    }
+    return 0;
+}
+
+std::optional<std::int64_t> id_of(std::string_view event) {
+    std::size_t begin = 0;
+    while (begin < event.size()) {
+        const auto end = std::min(event.find('\n', begin), event.size());
+        auto line = event.substr(begin, end - begin);
+        begin = end + 1;
+        if (!line.starts_with("id:")) {
+            continue;
+        }
+        line.remove_prefix(3);
+        if (line.starts_with(' ')) {
+            line.remove_prefix(1);
+        }
+        std::int64_t id = 0;
+        const auto parsed = std::from_chars(line.data(), line.data() + line.size(), id);
+        if (parsed.ec == std::errc{}) {
+            return id;
+        }
+    }
+    return std::nullopt;
+}
+
+}  // namespace
+
+std::vector<stream_event> event_splitter::feed(std::string_view bytes) {
+    m_partial.append(bytes);
+    std::vector<stream_event> events;
+    std::size_t begin = 0;
+    while (const auto length = event_length(std::string_view(m_partial).substr(begin))) {
+        auto event = m_partial.substr(begin, length);
+        const auto id = id_of(event);
+        events.push_back({std::move(event), id});
+        begin += length;
+    }
+    m_partial.erase(0, begin);
+    return events;
+}
+
+}  // namespace verbenahold::serving
--- /dev/null
+++ b/src/routing/placer.hpp
@@ -0,0 +1,101 @@
+// Chooses the servers of one request: the one that answers and, for prompts
+// that would hold up others, those that help to read. The policies are
+// alternatives of a std::variant, so that plain baselines run on the same load.
+#pragma once
+
+#include "engine_load.hpp"
+#include "server_registry.hpp"
+
+#include <functional>
+#include <optional>
+#include <random>
+#include <span>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace verbenahold::serving {
+
+// What a placement has to know of a request.
+struct placement_request {
+    const service* wanted = nullptr;
+    const route* matched = nullptr;
+    zone_name own_zone;
+    std::int64_t prompt_tokens = 0;
+    std::int64_t max_output_tokens = 0;
+    // Time until the answer is of no use.
+    duration time_left{};
+    // Servers that already had this request.
+    std::span<const server_name> excluded;
+};
+
+struct placement {
+    const server_entry* first = nullptr;
+    // Servers that read a part of the prompt each.
+    std::vector<const server_entry*> helpers;
+    // Milliseconds that each of them reads.
+    double part_ms = 0;
+    // Predicted time to the answer or its first event.
+    duration predicted{};
+};
+
+// No server can take the request; another try pays after `retry_after`.
+struct no_placement {
+    std::string_view reason;
+    duration retry_after{};
+};
+
+using placement_result = std::variant<placement, no_placement>;
+
+// Servers that may be chosen; may not be empty.
+struct placement_field {
+    const placement_request& request;
+    std::span<const server_entry* const> servers;
+    const engine_load& load;
+    std::mt19937_64& random;
+    time_point now{};
+};
+
+// Each server has the same chance.
+struct random_policy {
+    placement choose(const placement_field& field) const;
+};
+
+// The server with the fewest requests of all daemons.
+struct least_outstanding_policy {
+    placement choose(const placement_field& field) const;
+};
+
+// Answers a load in which prompts of 1k to 700k tokens share all servers:
+// streams with short pauses are packed on few servers, prompts that would read
+// longer than a pass may last are spread over the servers with the fewest such
+// streams.
+struct separating_policy {
+    placement choose(const placement_field& field) const;
+};
+
+using placement_policy = std::variant<separating_policy, least_outstanding_policy, random_policy>;
+
+// Helpers that a server accepts for one prompt.
+inline constexpr std::size_t most_helpers = 16;
+// Milliseconds of reading that one server does for one prompt before the
+// prompt is spread over more servers. Half of the shortest pause target that
+// is in use leaves the other half to the pass itself.
+inline constexpr double longest_part_ms = 120;
+// Places of a server that packing of short streams leaves free, so that its
+// passes stay short and a newcomer doesn't queue.
+inline constexpr int places_left_by_packing = 4;
+
+class placer {
+public:
+    placer(placement_policy policy, std::uint64_t seed) : m_policy(policy), m_random(seed) {}
+
+    placement_result place(const placement_request& request, const server_registry& servers, const engine_load& load,
+                           const std::function<bool(const server_entry&)>& may_send, time_point now);
+
+private:
+    placement_policy m_policy;
+    std::mt19937_64 m_random;
+};
+
+}  // namespace verbenahold::serving
--- /dev/null
+++ b/src/routing/route_table.hpp
@@ -0,0 +1,39 @@
+// Finds the route and the client account of a request in one version of the
+// desired state.
+#pragma once
+
+#include "desired_state.hpp"
+
+#include <memory>
+#include <string_view>
+#include <unordered_map>
+
+namespace verbenahold::serving {
+
+class route_table {
+public:
+    explicit route_table(desired_state state);
+
+    [[nodiscard]] const desired_state& state() const { return m_state; }
+
+    // The route of the host whose prefix is the longest one that begins
+    // `path`; null when none does. `host` may carry a port and capitals.
+    [[nodiscard]] const route* match(std::string_view host, std::string_view path) const;
+    // The account that holds an API key; null for an unknown key.
+    [[nodiscard]] const client_account* holder_of(std::string_view api_key) const;
+    [[nodiscard]] bool requires_keys() const { return !m_state.accounts.empty(); }
+    [[nodiscard]] const service* find_service(const service_name& name) const;
+    // The service of a request on `wanted`; `draw` in [0, 1) picks a share.
+    [[nodiscard]] const service* pick_service(const route& wanted, double draw) const;
+
+private:
+    desired_state m_state;
+    // Routes of a host, the longest prefix first.
+    std::unordered_map<std::string, std::vector<const route*>> m_by_host;
+    std::unordered_map<std::string, const client_account*> m_by_key;
+};
+
+// A host name as it is compared: in lower case and without a port.
+std::string normalized_host(std::string_view host);
+
+}  // namespace verbenahold::serving
--- /dev/null
+++ b/src/routing/server_registry.cpp
@@ -0,0 +1,94 @@
+#include "server_registry.hpp"
+
+#include <algorithm>
+
+namespace verbenahold::serving {
+
+void server_registry::update(const server_entry& entry, time_point now) {
+    auto& known = m_servers[entry.id];
+    if (known.entry.started_at_unix_ms != entry.started_at_unix_ms) {
+        known.avoided_until = now;
+        known.recent_failures = 0;
+    }
+    known.entry = entry;
+    known.expires.reset();
+}
+
+void server_registry::remove(const server_name& id, bool store_in_trouble, time_point now) {
+    const auto found = m_servers.find(id);
+    if (found == m_servers.end()) {
+        return;
+    }
+    if (!store_in_trouble) {
+        m_servers.erase(found);
+    } else if (!found->second.expires) {
+        found->second.expires = now + lapsed_entry_grace;
+    }
+}
+
+void server_registry::replace_all(std::span<const server_entry> entries, bool store_in_trouble, time_point now) {
+    std::set<server_name> present;
+    for (const auto& entry : entries) {
+        present.insert(entry.id);
+        update(entry, now);
+    }
+    std::vector<server_name> missing;
+    for (const auto& [id, server] : m_servers) {
+        if (!present.contains(id)) {
+            missing.push_back(id);
+        }
+    }
+    for (const auto& id : missing) {
+        remove(id, store_in_trouble, now);
+    }
+}
+
+void server_registry::report_failure(const server_name& id, time_point now) {
+    const auto found = m_servers.find(id);
+    if (found == m_servers.end()) {
+        return;
+    }
+    auto& server = found->second;
+    if (server.avoided_until > now) {
+        return;
+    }
+    const auto wait = first_avoidance * (1 << std::min(server.recent_failures, 4));
+    ++server.recent_failures;
+    server.avoided_until = now + std::min(wait, longest_avoidance);
+}
+
+void server_registry::report_success(const server_name& id) {
+    const auto found = m_servers.find(id);
+    if (found != m_servers.end()) {
+        found->second.recent_failures = 0;
+    }
+}
+
+bool server_registry::may_use(const known_server& server, time_point now) const {
+    if (server.entry.phase != server_phase::ready || m_evacuated.contains(server.entry.zone)) {
+        return false;
+    }
+    return !server.expires || now < *server.expires;
+}
+
+std::vector<const server_entry*> server_registry::usable(const service_name& service, time_point now) const {
+    std::vector<const server_entry*> healthy;
+    std::vector<const server_entry*> avoided;
+    for (const auto& [id, server] : m_servers) {
+        if (server.entry.service != service || !may_use(server, now)) {
+            continue;
+        }
+        (server.avoided_until > now ? avoided : healthy).push_back(&server.entry);
+    }
+    return healthy.empty() ? avoided : healthy;
+}
+
+const server_entry* server_registry::find(const server_name& id, time_point now) const {
+    const auto found = m_servers.find(id);
+    if (found == m_servers.end() || !may_use(found->second, now)) {
+        return nullptr;
+    }
+    return &found->second.entry;
+}
+
+}  // namespace verbenahold::serving
--- /dev/null
+++ b/src/serving/exchange.cpp
@@ -0,0 +1,538 @@
+#include "exchange.hpp"
+
+#include "log_line.hpp"
+
+#include <algorithm>
+
+namespace verbenahold::serving {
+
+namespace {
+
+// The answer to a request that runs out of time leaves this long before the
+// caller stops waiting: a way to the caller and a turn of the event loop.
+constexpr duration answer_margin = std::chrono::milliseconds(40);
+// How often a request that waits for a place tries again.
+constexpr duration place_retry_period = std::chrono::milliseconds(20);
+// Part of the latency target that a request may wait for a place before it is
+// refused, so that another try can still come in time.
+constexpr double waiting_part = 0.5;
+// Silence of a server beyond what was predicted, in latency targets and in
+// milliseconds, before a repeatable request is given to another server.
+constexpr double silence_targets = 2;
+constexpr duration least_silence = std::chrono::milliseconds(500);
+// Silence in the middle of a stream, in pause targets.
+constexpr double silence_pauses = 3;
+// Retry-After when servers rejected a request or could not be reached.
+constexpr duration retry_after_rejection = std::chrono::milliseconds(400);
+// Retry-After before the first desired state is known.
+constexpr duration retry_after_start = std::chrono::milliseconds(500);
+// A request that crashed its servers is not worth repeating soon.
+constexpr duration retry_after_crashes = std::chrono::seconds(60);
+// Largest answer that is kept whole before it is passed on.
+constexpr std::size_t largest_whole_answer = 16UL * 1024 * 1024;
+// Unsent bytes of a stream from which on the server is no longer read.
+constexpr std::size_t most_unsent_bytes = 256UL * 1024;
+// Tokens of an answer that are assumed where the caller states no maximum.
+constexpr std::int64_t assumed_output_tokens = 1'000;
+// Priorities that servers know; 0 is the most urgent.
+constexpr int least_urgent = 9;
+
+duration scaled(duration value, double factor) {
+    return duration(static_cast<duration::rep>(static_cast<double>(value.count()) * factor));
+}
+
+}  // namespace
+
+exchange::exchange(gateway_state& state, answer_sink& sink, caller_request request, time_point received_at)
+    : m_state(state), m_sink(&sink), m_request(std::move(request)), m_received_at(received_at) {
+    m_number = ++m_state.last_request;
+    ++m_state.open_requests;
+}
+
+exchange::~exchange() {
+    m_state.timers.unsubscribe(m_deadline_timer);
+    m_state.timers.unsubscribe(m_silence_timer);
+    --m_state.open_requests;
+}
+
+void exchange::start() {
+    if (admit()) {
+        place();
+    }
+}
+
+bool exchange::admit() {
+    m_routes = m_state.routes;
+    m_state.counters.add("requests_received");
+    if (!m_routes) {
+        fail(503, "no desired state is known yet", retry_after_start);
+        return false;
+    }
+    const auto path = path_of(m_request.request.target);
+    m_route = m_routes->match(m_request.host, path);
+    if (m_route == nullptr) {
+        fail(404, "no route matches");
+        return false;
+    }
+    if (m_routes->requires_keys() && !m_route->anonymous) {
+        m_account = m_routes->holder_of(m_request.api_key);
+        if (m_account == nullptr) {
+            fail(401, "no account holds the key");
+            return false;
+        }
+    }
+    const double share = std::uniform_real_distribution<double>(0, 1)(m_state.random);
+    m_service = m_routes->pick_service(*m_route, share);
+    if (m_service == nullptr) {
+        fail(503, "the route has no service", retry_after_start);
+        return false;
+    }
+    const auto allowed = std::min(m_route->timeout, m_request.time_limit.value_or(m_route->timeout));
+    m_deadline = m_received_at + allowed;
+    m_last_event = m_request.last_event_id;
+    const std::string_view account = m_account != nullptr ? std::string_view(m_account->name.value) : std::string_view();
+    m_fingerprint = request_fingerprint(account, m_request.request.target, m_request.request.body);
+    if (m_state.guard.holds(m_fingerprint, m_state.timers.now())) {
+        fail(503, "servers crashed while they ran this request", retry_after_crashes);
+        return false;
+    }
+    m_state.repeats.on_request(m_service->name, m_state.timers.now());
+    m_deadline_timer =
+        m_state.timers.after(std::max(duration::zero(), time_left() - answer_margin), [this] { on_deadline(); });
+    return true;
+}
+
+void exchange::place() {
+    const auto now = m_state.timers.now();
+    placement_request wanted;
+    wanted.wanted = m_service;
+    wanted.matched = m_route;
+    wanted.own_zone = m_state.settings.zone;
+    wanted.prompt_tokens = m_request.prompt_tokens;
+    wanted.max_output_tokens = m_request.max_output_tokens > 0 ? m_request.max_output_tokens : assumed_output_tokens;
+    wanted.time_left = time_left();
+    wanted.excluded = m_tried;
+    const int daemons = m_state.daemons.senders_lately(now);
+    const auto may_send = [&](const server_entry& server) {
+        return m_state.pacer.may_send(server.id, *m_service, daemons, now);
+    };
+    const auto result = m_state.placing.place(wanted, m_state.servers, m_state.load, may_send, now);
+    if (const auto* none = std::get_if<no_placement>(&result)) {
+        wait_for_place(*none);
+        return;
+    }
+    send(std::get<placement>(result));
+}
+
+void exchange::wait_for_place(const no_placement& reason) {
+    const auto now = m_state.timers.now();
+    if (!m_waiting_since) {
+        m_waiting_since = now;
+    }
+    const bool none_exists = m_state.servers.usable(m_service->name, now).empty();
+    const auto longest = std::min(scaled(m_route->latency_target, waiting_part), time_left());
+    if (none_exists || now - *m_waiting_since >= longest) {
+        if (m_history.answer_begun) {
+            cut_off(reason.reason);
+        } else if (m_history.may_have_run > 0) {
+            fail(502, reason.reason);
+        } else {
+            fail(503, reason.reason, reason.retry_after);
+        }
+        return;
+    }
+    m_wait_timer = m_state.timers.after(place_retry_period, [self = shared_from_this()] {
+        if (!self->m_ended) {
+            self->place();
+        }
+    });
+}
+
+void exchange::send(const placement& chosen) {
+    const auto now = m_state.timers.now();
+    m_waiting_since.reset();
+    m_attempt.emplace();
+    m_attempt->placed = chosen;
+    m_attempt->server = chosen.first->id;
+    m_attempt->sent_at = now;
+    m_attempt->work = {m_state.boot, (m_number << 4U) | static_cast<std::uint64_t>(m_tried.size() & 15U)};
+    m_tried.push_back(chosen.first->id);
+    m_state.pacer.on_sent(chosen.first->id, now);
+
+    forwarding added;
+    added.server = chosen.first->id;
+    added.time_left = std::max(time_left(), duration(std::chrono::milliseconds(1)));
+    if (m_account != nullptr) {
+        added.account = m_account->name;
+    }
+    if (m_service->engine) {
+        const int rank = m_account != nullptr && m_account->priority ? *m_account->priority : m_route->priority;
+        added.priority = std::clamp(rank, 0, least_urgent);
+    }
+    added.last_event_id = m_last_event;
+    for (const server_entry* helper : chosen.helpers) {
+        added.helpers.push_back({helper->address, {}});
+    }
+    const auto request = m_state.wire.server_request(m_request, added);
+
+    const bool once = m_route->repeat == repeat_rule::at_most_once;
+    m_attempt->connection =
+        m_state.pool.take(chosen.first->address, once ? idle_time_for_single_runs : default_idle_time);
+    log_line("forwarded")
+        .add("request", m_request.attempt_id)
+        .add("server", m_attempt->server.value)
+        .add("attempt", m_tried.size())
+        .add("helpers", chosen.helpers.size())
+        .add("part_ms", chosen.part_ms)
+        .add("predicted_ms", chosen.predicted)
+        .add("left_ms", time_left())
+        .info();
+    announce_work(work_event::started);
+    ++m_history.sent;
+    ++m_history.may_have_run;
+    answer_callbacks callbacks;
+    const auto self = shared_from_this();
+    callbacks.on_head = [self](const http_answer_head& head) { return self->on_head(head); };
+    callbacks.on_body = [self](std::string bytes) { self->on_body(std::move(bytes)); };
+    callbacks.on_complete = [self] { self->on_complete(); };
+    callbacks.on_failure = [self](const call_failure& failure) { self->on_failure(failure); };
+    if (!once) {
+        const auto silence = std::max(least_silence, scaled(m_route->latency_target, silence_targets));
+        watch_silence(chosen.predicted + silence);
+    }
+    m_attempt->connection->send(request_bytes(request, {}), request.method == "HEAD", std::move(callbacks));
+}
+
+void exchange::announce_work(work_event event) {
+    const auto now = m_state.timers.now();
+    work_update update;
+    update.id = m_attempt->work;
+    update.event = event;
+    update.lifetime = time_left() + std::chrono::seconds(1);
+    if (event == work_event::started) {
+        const auto& placed = m_attempt->placed;
+        const auto context = m_request.prompt_tokens + m_request.max_output_tokens / 2;
+        update.items.push_back({m_attempt->server, placed.part_ms, context, true, m_route->pause_target});
+        for (const server_entry* helper : placed.helpers) {
+            update.items.push_back({helper->id, placed.part_ms, 0, false, {}});
+        }
+        for (const auto& item : update.items) {
+            m_state.load.add(update.id, item, now, now + update.lifetime);
+        }
+    } else if (event == work_event::read) {
+        m_state.load.reading_done(update.id, now);
+    } else {
+        m_state.load.remove(update.id, now);
+    }
+    if (m_state.notices.on_work) {
+        m_state.notices.on_work(update);
+    }
+}
+
+void exchange::watch_silence(duration limit) {
+    m_state.timers.unsubscribe(m_silence_timer);
+    m_silence_timer = m_state.timers.after(limit, [this] { on_silence(); });
+}
+
+void exchange::end_attempt() {
+    m_state.timers.unsubscribe(m_silence_timer);
+    if (!m_attempt) {
+        return;
+    }
+    announce_work(work_event::ended);
+    if (m_attempt->connection->is_reusable()) {
+        m_state.pool.put_back(m_attempt->connection);
+    } else {
+        m_attempt->connection->close();
+    }
+    m_attempt.reset();
+}
+
+bool exchange::on_head(const http_answer_head& head) {
+    const auto decoded = m_state.wire.read_answer(head);
+    if (!decoded.attempt_id.empty() && decoded.attempt_id != m_request.attempt_id) {
+        log_line("skipped answer of another request")
+            .add("request", m_request.attempt_id)
+            .add("answer_for", decoded.attempt_id)
+            .add("server", m_attempt->server.value)
+            .warn();
+        return false;
+    }
+    m_attempt->answer.head = head;
+    m_attempt->decoded = decoded;
+    const bool success = head.status >= 200 && head.status < 300;
+    m_attempt->streams = success && decoded.proved && m_route->form == answer_form::event_stream;
+    return true;
+}
+
+void exchange::on_body(std::string bytes) {
+    if (m_attempt->streams) {
+        on_events(m_attempt->events.feed(bytes));
+        return;
+    }
+    m_attempt->answer.body += bytes;
+    if (m_attempt->answer.body.size() > largest_whole_answer) {
+        conclude(attempt_lost{}, "the answer is too large");
+    }
+}
+
+void exchange::on_events(std::vector<stream_event> events) {
+    if (m_attempt->events.overflowed()) {
+        conclude(attempt_lost{}, "an event is too large");
+        return;
+    }
+    std::string bytes;
+    for (auto& event : events) {
+        if (event.id && m_last_event) {
+            if (*event.id <= *m_last_event) {
+                continue;
+            }
+            if (*event.id > *m_last_event + 1) {
+                conclude(attempt_lost{}, "an event is missing");
+                return;
+            }
+        }
+        if (event.id) {
+            m_last_event = event.id;
+        }
+        bytes += event.bytes;
+    }
+    if (events.empty()) {
+        return;
+    }
+    if (!m_attempt->reading_reported) {
+        m_attempt->reading_reported = true;
+        announce_work(work_event::read);
+        const auto took = m_state.timers.now() - m_attempt->sent_at;
+        m_state.counters.observe("first_event_ms", std::chrono::duration<double, std::milli>(took).count());
+        log_line("first event")
+            .add("request", m_request.attempt_id)
+            .add("server", m_attempt->server.value)
+            .add("took_ms", took)
+            .add("predicted_ms", m_attempt->placed.predicted)
+            .debug();
+    }
+    if (m_sink != nullptr && !bytes.empty()) {
+        if (!m_history.answer_begun) {
+            m_history.answer_begun = true;
+            m_sink->begin_stream(m_attempt->answer.head);
+        }
+        m_sink->stream(std::move(bytes));
+        if (m_sink->unsent_bytes() > most_unsent_bytes) {
+            m_attempt->connection->pause_reading(true);
+        }
+    }
+    watch_silence(std::max(least_silence, scaled(m_route->pause_target, silence_pauses)));
+}
+
+void exchange::caller_caught_up() {
+    if (m_attempt) {
+        m_attempt->connection->pause_reading(false);
+    }
+}
+
+void exchange::on_complete() {
+    const auto& current = *m_attempt;
+    const int status = current.answer.head.status;
+    const bool success = status >= 200 && status < 300;
+    if (current.streams) {
+        if (current.events.pending() > 0) {
+            conclude(attempt_lost{}, "the stream ended inside an event");
+            return;
+        }
+        m_state.servers.report_success(current.server);
+        m_state.guard.on_completed(m_fingerprint);
+        if (!m_history.answer_begun) {
+            m_history.answer_begun = true;
+            m_sink->begin_stream(current.answer.head);
+        }
+        end_attempt();
+        auto* sink = m_sink;
+        ended("answered", status, "stream complete");
+        sink->end_stream();
+        return;
+    }
+    if (current.decoded.wrong_server || current.decoded.not_executed) {
+        conclude(attempt_not_executed{}, current.decoded.wrong_server ? "another server has the address"
+                                                                      : "the server rejected the request");
+        return;
+    }
+    if (status >= 500) {
+        conclude(attempt_failed{}, "the server failed");
+        return;
+    }
+    if (success && !current.decoded.proved) {
+        conclude(attempt_lost{}, "the answer bears no proof");
+        return;
+    }
+    m_state.servers.report_success(current.server);
+    m_state.guard.on_completed(m_fingerprint);
+    const auto answer = current.answer;
+    end_attempt();
+    deliver(answer);
+}
+
+void exchange::on_failure(const call_failure& failure) {
+    if (std::holds_alternative<not_connected>(failure)) {
+        --m_history.sent;
+        --m_history.may_have_run;
+        ++m_history.not_sent;
+        conclude(attempt_not_sent{}, failure_reason(failure));
+        return;
+    }
+    if (std::holds_alternative<answer_missing>(failure)) {
+        // The server may have died of this request: several such deaths in a
+        // row speak against the request.
+        m_state.guard.on_server_death(m_fingerprint, m_state.timers.now());
+        if (m_state.notices.on_request_death) {
+            m_state.notices.on_request_death(m_fingerprint, m_state.guard.deaths(m_fingerprint, m_state.timers.now()));
+        }
+    }
+    conclude(attempt_lost{}, failure_reason(failure));
+}
+
+void exchange::on_silence() {
+    if (!m_attempt) {
+        return;
+    }
+    const bool spare_attempt = m_history.may_have_run < m_route->max_attempts;
+    const bool allowed = m_history.answer_begun ? m_route->resumable : m_route->repeat == repeat_rule::idempotent;
+    if (!spare_attempt || !allowed) {
+        return;
+    }
+    conclude(attempt_lost{}, "the server is silent");
+}
+
+void exchange::conclude(const attempt_outcome& outcome, std::string_view reason) {
+    const auto now = m_state.timers.now();
+    const auto server = m_attempt->server;
+    const auto failure = m_attempt->answer;
+    if (std::holds_alternative<attempt_not_executed>(outcome)) {
+        --m_history.may_have_run;
+    }
+    // A whole answer shows that the server works, whatever it says of the
+    // request.
+    const bool speaks_against_server = std::holds_alternative<attempt_lost>(outcome) ||
+                                       std::holds_alternative<attempt_not_sent>(outcome) ||
+                                       m_attempt->decoded.wrong_server;
+    if (speaks_against_server) {
+        m_state.servers.report_failure(server, now);
+    }
+    m_state.counters.add("attempts_failed");
+    const auto decision = decide_next(*m_route, m_history, outcome);
+    log_line("attempt failed")
+        .add("request", m_request.attempt_id)
+        .add("server", server.value)
+        .add("reason", reason)
+        .add("status", failure.head.status)
+        .add("after_ms", now - m_attempt->sent_at)
+        .add("may_have_run", m_history.may_have_run)
+        .add("left_ms", time_left())
+        .warn();
+    end_attempt();
+    if (const auto* elsewhere = std::get_if<send_elsewhere>(&decision)) {
+        const int daemons = m_state.daemons.senders_lately(now);
+        if (!elsewhere->is_repeat || m_state.repeats.take(m_service->name, daemons, now)) {
+            place();
+            return;
+        }
+        if (m_history.answer_begun) {
+            cut_off("the budget for repeats is used up");
+        } else if (std::holds_alternative<attempt_failed>(outcome)) {
+            deliver(failure);
+        } else if (m_history.may_have_run > 0) {
+            fail(502, "the budget for repeats is used up");
+        } else {
+            fail(503, "the budget for repeats is used up", retry_after_rejection);
+        }
+        return;
+    }
+    if (std::holds_alternative<deliver_failure>(decision)) {
+        deliver(failure);
+    } else if (const auto* gone = std::get_if<give_up>(&decision)) {
+        if (gone->not_run) {
+            fail(503, gone->reason, retry_after_rejection);
+        } else {
+            fail(502, gone->reason);
+        }
+    } else {
+        cut_off(reason);
+    }
+}
+
+void exchange::on_deadline() {
+    const auto self = shared_from_this();
+    const bool ran = m_history.may_have_run > 0;
+    if (m_history.answer_begun) {
+        cut_off("out of time");
+    } else if (ran) {
+        fail(504, "out of time");
+    } else {
+        fail(503, "out of time before a server took the request", retry_after_rejection);
+    }
+}
+
+void exchange::deliver(const http_answer& answer) {
+    auto* sink = m_sink;
+    ended("answered", answer.head.status, "");
+    if (sink != nullptr) {
+        sink->answer(answer);
+    }
+}
+
+void exchange::fail(int status, std::string_view reason, std::optional<duration> retry_after) {
+    if (retry_after) {
+        // Spread, so that callers don't come back together.
+        const double spread = std::uniform_real_distribution<double>(0.8, 1.4)(m_state.random);
+        retry_after = scaled(*retry_after, spread);
+    }
+    auto* sink = m_sink;
+    ended(status == 503 ? "refused" : "failed", status, reason);
+    if (sink != nullptr) {
+        sink->answer({{status, {}, m_state.wire.own_answer_fields(m_request, retry_after)}, {}});
+    }
+}
+
+void exchange::cut_off(std::string_view reason) {
+    auto* sink = m_sink;
+    ended("cut off", 0, reason);
+    if (sink != nullptr) {
+        sink->cut_off();
+    }
+}
+
+void exchange::caller_left() {
+    m_sink = nullptr;
+    if (!m_ended) {
+        ended("cancelled", 0, "the caller left");
+    }
+}
+
+void exchange::ended(std::string_view outcome, int status, std::string_view reason) {
+    if (m_ended) {
+        return;
+    }
+    m_ended = true;
+    m_state.timers.unsubscribe(m_deadline_timer);
+    m_state.timers.unsubscribe(m_wait_timer);
+    end_attempt();
+    m_sink = nullptr;
+    const auto took = m_state.timers.now() - m_received_at;
+    m_state.counters.add(std::string("requests_") + std::string(outcome));
+    log_line line("ended");
+    line.add("request", m_request.attempt_id)
+        .add("outcome", outcome)
+        .add("status", status)
+        .add("reason", reason)
+        .add("took_ms", took)
+        .add("tokens", m_request.prompt_tokens)
+        .add("sent", m_history.sent)
+        .add("state_version", m_routes ? m_routes->state().version : 0);
+    if (outcome == "answered") {
+        line.info();
+    } else {
+        line.warn();
+    }
+}
+
+}  // namespace verbenahold::serving
--- /dev/null
+++ b/src/serving/exchange.hpp
@@ -0,0 +1,115 @@
+// One caller's request from its arrival to its answer: matched, placed, sent to
+// servers and answered.
+#pragma once
+
+#include "attempt_policy.hpp"
+#include "event_splitter.hpp"
+#include "gateway_state.hpp"
+
+#include <memory>
+#include <optional>
+
+namespace verbenahold::serving {
+
+// Where the answer goes. Calls after the caller has left are ignored.
+class answer_sink {
+public:
+    answer_sink() = default;
+    virtual ~answer_sink() = default;
+    answer_sink(const answer_sink&) = delete;
+    answer_sink& operator=(const answer_sink&) = delete;
+    answer_sink(answer_sink&&) = delete;
+    answer_sink& operator=(answer_sink&&) = delete;
+
+    // A whole answer. The exchange has ended.
+    virtual void answer(const http_answer& answer) = 0;
+    // An answer whose body follows in parts.
+    virtual void begin_stream(const http_answer_head& head) = 0;
+    virtual void stream(std::string bytes) = 0;
+    // The stream is complete. The exchange has ended.
+    virtual void end_stream() = 0;
+    // The stream can't be completed, which the caller must notice. The
+    // exchange has ended.
+    virtual void cut_off() = 0;
+    // Bytes that the caller has not taken yet.
+    [[nodiscard]] virtual std::size_t unsent_bytes() const = 0;
+};
+
+class exchange : public std::enable_shared_from_this<exchange> {
+public:
+    // `sink` outlives the exchange or calls caller_left() first.
+    exchange(gateway_state& state, answer_sink& sink, caller_request request, time_point received_at);
+    ~exchange();
+    exchange(const exchange&) = delete;
+    exchange& operator=(const exchange&) = delete;
+    exchange(exchange&&) = delete;
+    exchange& operator=(exchange&&) = delete;
+
+    void start();
+    // The caller closed its connection.
+    void caller_left();
+    // The caller has taken what was sent.
+    void caller_caught_up();
+
+private:
+    struct attempt {
+        std::shared_ptr<server_connection> connection;
+        placement placed;
+        server_name server;
+        work_id work;
+        time_point sent_at{};
+        http_answer answer;
+        server_answer decoded;
+        event_splitter events;
+        bool streams = false;
+        bool reading_reported = false;
+    };
+
+    // True if the request goes on to be placed.
+    bool admit();
+    void place();
+    void wait_for_place(const no_placement& reason);
+    void send(const placement& chosen);
+    void announce_work(work_event event);
+    void end_attempt();
+
+    bool on_head(const http_answer_head& head);
+    void on_body(std::string bytes);
+    void on_events(std::vector<stream_event> events);
+    void on_complete();
+    void on_failure(const call_failure& failure);
+    void on_silence();
+    void on_deadline();
+    void watch_silence(duration limit);
+
+    void conclude(const attempt_outcome& outcome, std::string_view reason);
+    void deliver(const http_answer& answer);
+    void fail(int status, std::string_view reason, std::optional<duration> retry_after = std::nullopt);
+    void cut_off(std::string_view reason);
+    void ended(std::string_view outcome, int status, std::string_view reason);
+
+    [[nodiscard]] duration time_left() const { return m_deadline - m_state.timers.now(); }
+
+    gateway_state& m_state;
+    answer_sink* m_sink;
+    caller_request m_request;
+    time_point m_received_at;
+    time_point m_deadline{};
+    std::shared_ptr<const route_table> m_routes;
+    const route* m_route = nullptr;
+    const service* m_service = nullptr;
+    const client_account* m_account = nullptr;
+    std::uint64_t m_fingerprint = 0;
+    std::uint64_t m_number = 0;
+    bool m_ended = false;
+    attempt_history m_history;
+    std::vector<server_name> m_tried;
+    std::optional<attempt> m_attempt;
+    std::optional<std::int64_t> m_last_event;
+    std::optional<time_point> m_waiting_since;
+    loop_timers::subscription m_deadline_timer{};
+    loop_timers::subscription m_silence_timer{};
+    loop_timers::subscription m_wait_timer{};
+};
+
+}  // namespace verbenahold::serving
--- /dev/null
+++ b/src/serving/front_session.cpp
@@ -0,0 +1,324 @@
+#include "front_session.hpp"
+
+#include "log_line.hpp"
+#include "service_listener.hpp"
+
+#include <boost/asio/write.hpp>
+
+#include <charconv>
+
+namespace verbenahold::serving {
+
+namespace {
+
+using boost::asio::ip::tcp;
+
+// Requests that wait behind the one under way; beyond that the connection is
+// no longer read.
+constexpr std::size_t most_waiting_bytes = 64UL * 1024;
+// How long a connection that was ended in order waits for the caller's end.
+constexpr duration linger = std::chrono::milliseconds(500);
+// How long a caller may take to read the last bytes of an answer.
+constexpr duration longest_last_write = std::chrono::seconds(10);
+
+// Fields that concern one connection only, or that this daemon writes itself.
+bool is_connection_field(std::string_view name) {
+    for (const std::string_view known :
+         {"Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "Proxy-Connection", "Upgrade", "Trailer"}) {
+        if (same_field_name(name, known)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+header_fields end_to_end_fields(const header_fields& fields) {
+    header_fields kept;
+    for (const auto& field : fields) {
+        if (!is_connection_field(field.name)) {
+            kept.push_back(field);
+        }
+    }
+    return kept;
+}
+
+std::string chunk_of(std::string_view bytes) {
+    std::array<char, 16> size{};
+    const auto end = std::to_chars(size.data(), size.data() + size.size(), bytes.size(), 16).ptr;
+    std::string chunk(size.data(), end);
+    chunk.append("\r\n").append(bytes).append("\r\n");
+    return chunk;
+}
+
+}  // namespace
+
+front_session::front_session(gateway_state& state, tcp::socket socket)
+    : m_state(state), m_socket(std::move(socket)), m_reader(bounds()) {}
+
+front_session::~front_session() {
+    m_state.timers.unsubscribe(m_watch);
+}
+
+request_bounds front_session::bounds() const {
+    if (!m_state.routes) {
+        return {};
+    }
+    const auto& limits = m_state.routes->state().limits;
+    return {limits.max_header_bytes, limits.max_body_bytes};
+}
+
+void front_session::start() {
+    boost::system::error_code ignored;
+    m_socket.set_option(tcp::no_delay(true), ignored);
+    const caller_limits limits = m_state.routes ? m_state.routes->state().limits : caller_limits{};
+    watch(limits.idle_timeout);
+    read();
+}
+
+void front_session::watch(duration limit) {
+    m_state.timers.unsubscribe(m_watch);
+    m_watch = m_state.timers.after(limit, [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (!self || self->m_exchange) {
+            return;
+        }
+        if (self->m_reader.has_begun()) {
+            self->m_keep = false;
+            self->write(answer_bytes({{408, {}, {}}, {}}, true, false));
+            self->close_in_order();
+            return;
+        }
+        self->drop();
+    });
+}
+
+void front_session::read() {
+    if (m_reading || m_dropped || m_caller_done || m_reader.waiting_bytes() > most_waiting_bytes) {
+        return;
+    }
+    m_reading = true;
+    m_socket.async_read_some(boost::asio::buffer(m_chunk),
+                             [self = shared_from_this()](const boost::system::error_code& error, std::size_t count) {
+                                 self->m_reading = false;
+                                 if (!self->m_dropped) {
+                                     self->on_read(error, count);
+                                 }
+                             });
+}
+
+void front_session::on_read(const boost::system::error_code& error, std::size_t count) {
+    if (error) {
+        m_caller_done = true;
+        if (m_exchange) {
+            m_exchange->caller_left();
+            m_exchange.reset();
+        }
+        m_hold.reset();
+        drop();
+        return;
+    }
+    if (m_closing) {
+        read();
+        return;
+    }
+    if (!m_timing_request) {
+        m_timing_request = true;
+        m_request_began = m_state.timers.now();
+        const caller_limits limits = m_state.routes ? m_state.routes->state().limits : caller_limits{};
+        if (!m_exchange) {
+            watch(limits.header_timeout);
+        }
+    }
+    m_reader.feed({m_chunk.data(), count});
+    if (!m_exchange) {
+        take_next();
+    }
+    read();
+}
+
+void front_session::take_next() {
+    if (m_reader.take_expects_continue()) {
+        write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    switch (m_reader.state()) {
+        case request_reader::progress::complete:
+            begin_exchange();
+            break;
+        case request_reader::progress::broken:
+            refuse_broken();
+            break;
+        case request_reader::progress::incomplete:
+            if (m_reader.header_done()) {
+                // The body may take as long as a connection may stay idle.
+                const caller_limits limits = m_state.routes ? m_state.routes->state().limits : caller_limits{};
+                watch(limits.idle_timeout);
+            }
+            break;
+    }
+}
+
+void front_session::refuse_broken() {
+    log_line("refused malformed request").add("status", m_reader.fault_status()).add("reason", m_reader.fault()).warn();
+    m_keep = false;
+    write(answer_bytes({{m_reader.fault_status(), {}, {}}, {}}, true, false));
+    close_in_order();
+}
+
+void front_session::begin_exchange() {
+    m_state.timers.unsubscribe(m_watch);
+    m_timing_request = false;
+    m_keep = m_reader.keep_alive();
+    m_plain_stream = m_reader.is_http_1_0();
+    m_reader.set_bounds(bounds());
+    auto request = m_state.wire.read_request(m_reader.take_request());
+    m_head_request = request.request.method == "HEAD";
+    m_exchange = std::make_shared<exchange>(m_state, *this, std::move(request), m_request_began);
+    m_hold = shared_from_this();
+    const auto running = m_exchange;
+    running->start();
+}
+
+void front_session::answer(const http_answer& answer) {
+    const bool close = !m_keep || m_state.stopping;
+    write(answer_bytes({{answer.head.status, answer.head.reason, end_to_end_fields(answer.head.fields)}, answer.body},
+                       close, m_head_request));
+    request_ended(!close);
+}
+
+void front_session::begin_stream(const http_answer_head& head) {
+    m_keep = m_keep && !m_state.stopping && !m_plain_stream;
+    std::string bytes = "HTTP/1.1 " + std::to_string(head.status) + ' ' + head.reason + "\r\n";
+    for (const auto& field : end_to_end_fields(head.fields)) {
+        bytes.append(field.name).append(": ").append(field.value).append("\r\n");
+    }
+    if (!m_plain_stream) {
+        bytes.append("Transfer-Encoding: chunked\r\n");
+    }
+    if (!m_keep) {
+        bytes.append("Connection: close\r\n");
+    }
+    write(bytes.append("\r\n"));
+}
+
+void front_session::stream(std::string bytes) {
+    write(m_plain_stream ? std::move(bytes) : chunk_of(bytes));
+}
+
+void front_session::end_stream() {
+    if (!m_plain_stream) {
+        write("0\r\n\r\n");
+    }
+    request_ended(m_keep);
+}
+
+void front_session::cut_off() {
+    m_exchange.reset();
+    const auto self = std::move(m_hold);
+    // A reset tells the caller that the answer is not complete, whatever its
+    // framing.
+    boost::system::error_code ignored;
+    m_socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    drop();
+}
+
+void front_session::request_ended(bool keep) {
+    m_exchange.reset();
+    const auto self = std::move(m_hold);
+    if (!keep) {
+        close_in_order();
+        return;
+    }
+    const caller_limits limits = m_state.routes ? m_state.routes->state().limits : caller_limits{};
+    watch(limits.idle_timeout);
+    // The next request may have been read already. It starts from the loop,
+    // since this is called from the exchange that ends.
+    m_state.timers.after(duration::zero(), [weak = weak_from_this()] {
+        if (const auto session = weak.lock()) {
+            session->go_on();
+        }
+    });
+}
+
+void front_session::go_on() {
+    if (m_exchange || m_closing || m_dropped) {
+        return;
+    }
+    if (m_reader.waiting_bytes() > 0) {
+        m_request_began = m_state.timers.now();
+        m_timing_request = true;
+        m_reader.feed({});
+        take_next();
+    }
+    read();
+}
+
+void front_session::write(std::string bytes) {
+    if (m_dropped) {
+        return;
+    }
+    m_unsent += bytes.size();
+    m_output.push_back(std::move(bytes));
+    if (!m_writing) {
+        write_next();
+    }
+}
+
+void front_session::write_next() {
+    m_writing = true;
+    boost::asio::async_write(m_socket, boost::asio::buffer(m_output.front()),
+                             [self = shared_from_this()](const boost::system::error_code& error, std::size_t count) {
+                                 self->m_writing = false;
+                                 if (self->m_dropped || error) {
+                                     return;
+                                 }
+                                 self->m_unsent -= count;
+                                 self->m_output.pop_front();
+                                 if (!self->m_output.empty()) {
+                                     self->write_next();
+                                     return;
+                                 }
+                                 if (self->m_closing) {
+                                     self->end_writing();
+                                 } else if (self->m_exchange) {
+                                     self->m_exchange->caller_caught_up();
+                                 }
+                             });
+}
+
+void front_session::close_in_order() {
+    m_closing = true;
+    m_state.timers.unsubscribe(m_watch);
+    if (m_writing) {
+        m_watch = m_state.timers.after(longest_last_write, [self = shared_from_this()] { self->drop(); });
+    } else {
+        end_writing();
+    }
+    read();
+}
+
+void front_session::end_writing() {
+    boost::system::error_code ignored;
+    m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+    // Reading on until the caller closes keeps the answer from being lost to
+    // a reset.
+    m_state.timers.unsubscribe(m_watch);
+    m_watch = m_state.timers.after(linger, [self = shared_from_this()] { self->drop(); });
+}
+
+void front_session::close_if_idle() {
+    if (is_idle() && !m_writing && !m_closing) {
+        drop();
+    }
+}
+
+void front_session::drop() {
+    if (m_dropped) {
+        return;
+    }
+    m_dropped = true;
+    m_state.timers.unsubscribe(m_watch);
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+}
+
+}  // namespace verbenahold::serving
--- /dev/null
+++ b/src/serving/front_session.hpp
@@ -0,0 +1,74 @@
+// One connection of a caller: its requests are read one after the other and
+// each is answered before the next.
+#pragma once
+
+#include "exchange.hpp"
+#include "request_reader.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <array>
+#include <deque>
+
+namespace verbenahold::serving {
+
+class front_session : public std::enable_shared_from_this<front_session>, public answer_sink {
+public:
+    front_session(gateway_state& state, boost::asio::ip::tcp::socket socket);
+    ~front_session() override;
+    front_session(const front_session&) = delete;
+    front_session& operator=(const front_session&) = delete;
+    front_session(front_session&&) = delete;
+    front_session& operator=(front_session&&) = delete;
+
+    void start();
+    // Closes the connection if no request is under way.
+    void close_if_idle();
+    [[nodiscard]] bool is_idle() const { return !m_exchange && !m_reader.has_begun(); }
+
+    void answer(const http_answer& answer) override;
+    void begin_stream(const http_answer_head& head) override;
+    void stream(std::string bytes) override;
+    void end_stream() override;
+    void cut_off() override;
+    [[nodiscard]] std::size_t unsent_bytes() const override { return m_unsent; }
+
+private:
+    void read();
+    void on_read(const boost::system::error_code& error, std::size_t count);
+    void take_next();
+    void go_on();
+    void begin_exchange();
+    void refuse_broken();
+    void write(std::string bytes);
+    void write_next();
+    void request_ended(bool keep);
+    void close_in_order();
+    void end_writing();
+    void drop();
+    void watch(duration limit);
+    [[nodiscard]] request_bounds bounds() const;
+
+    gateway_state& m_state;
+    boost::asio::ip::tcp::socket m_socket;
+    request_reader m_reader;
+    std::array<char, 16'384> m_chunk{};
+    std::shared_ptr<exchange> m_exchange;
+    // Keeps the session while a request is under way and nothing is read.
+    std::shared_ptr<front_session> m_hold;
+    std::deque<std::string> m_output;
+    std::size_t m_unsent = 0;
+    bool m_writing = false;
+    bool m_reading = false;
+    bool m_closing = false;
+    bool m_dropped = false;
+    bool m_caller_done = false;
+    bool m_keep = true;
+    bool m_plain_stream = false;
+    bool m_head_request = false;
+    time_point m_request_began{};
+    bool m_timing_request = false;
+    loop_timers::subscription m_watch{};
+};
+
+}  // namespace verbenahold::serving
--- /dev/null
+++ b/src/serving/gateway.cpp
@@ -0,0 +1,392 @@
+#include "gateway.hpp"
+
+#include "front_session.hpp"
+#include "log_line.hpp"
+#include "serving.pb.h"
+
+#include <algorithm>
+#include <csignal>
+
+namespace verbenahold::serving {
+
+namespace {
+
+using boost::asio::ip::tcp;
+
+// Lifetime of the directory's answers: short, so that callers learn of a
+// stopping or dead daemon soon.
+constexpr duration locate_lifetime = std::chrono::seconds(1);
+// Daemons of the caller's zone from which on only these are named.
+constexpr std::size_t enough_in_zone = 2;
+// Most addresses in one answer of the directory.
+constexpr std::size_t most_addresses = 64;
+// When the list of daemons is read after the start, and then regularly.
+constexpr duration first_listing = std::chrono::milliseconds(400);
+constexpr duration second_listing = std::chrono::milliseconds(2'500);
+constexpr duration listing_period = std::chrono::seconds(12);
+// Pause before the own row is written again after a failure.
+constexpr duration announce_pause = std::chrono::milliseconds(500);
+constexpr duration housekeeping_period = std::chrono::milliseconds(250);
+// After the request to stop, connections are still accepted for this long:
+// callers keep the directory's earlier answers.
+constexpr duration accept_while_stopping = std::chrono::milliseconds(3'000);
+// What remains of the grace when the process ends by itself at the latest.
+constexpr duration stop_margin = std::chrono::milliseconds(400);
+constexpr duration stop_check_period = std::chrono::milliseconds(50);
+// Time limit of a call to another daemon.
+constexpr duration peer_call_limit = std::chrono::milliseconds(800);
+constexpr std::string_view snapshot_path = "/v1/rows";
+
+}  // namespace
+
+gateway::gateway(boost::asio::io_context& loop, const serving_settings& settings, const wire_protocol& protocol,
+                 std::uint64_t boot)
+    : m_state(settings, protocol, loop, boot, boot ^ std::hash<std::string>{}(settings.host.value)),
+      m_acceptor(loop),
+      m_signals(loop, SIGTERM, SIGINT, SIGHUP),
+      m_peers(m_state, [this] { return own_status(); }),
+      m_operator_rows(store_table::operator_rows, settings.store_address, protocol, m_state.calls, m_state.timers,
+                      [this](const auto& rows, const auto& changed) { on_operator_rows(rows, changed); }),
+      m_server_rows(store_table::server_rows, settings.store_address, protocol, m_state.calls, m_state.timers,
+                    [this](const auto&, const auto& changed) { on_server_rows(changed); }) {
+    m_state.notices.on_work = [this](const work_update& update) { m_peers.send_work(update); };
+    m_state.notices.on_server_trouble = [this](const server_name& server) { m_peers.send_trouble(server); };
+    m_state.notices.on_request_death = [this](std::uint64_t print, int deaths) { m_peers.send_death(print, deaths); };
+}
+
+gateway::~gateway() = default;
+
+bool gateway::open_service(std::unique_ptr<service_listener>& listener, const std::string& address,
+                           service_handler handler, std::string& fault) {
+    if (address.empty()) {
+        return true;
+    }
+    listener = std::make_unique<service_listener>(m_state.loop, m_state.timers, std::move(handler));
+    return listener->listen(address, fault);
+}
+
+bool gateway::start(std::string& fault) {
+    const auto& settings = m_state.settings;
+    const bool open =
+        open_service(m_ready, settings.ready_address, [this](const auto& r) { return answer_ready(r); }, fault) &&
+        open_service(m_directory, settings.directory_address, [this](const auto& r) { return answer_directory(r); },
+                     fault) &&
+        open_service(m_metrics, settings.metrics_address, [this](const auto& r) { return answer_metrics(r); }, fault) &&
+        open_service(m_peer_service, settings.peer_address, [this](const auto& r) { return answer_peer(r); }, fault) &&
+        m_peers.open(settings.peer_address, fault) && open_listener(m_acceptor, settings.front_address, fault);
+    if (!open) {
+        return false;
+    }
+    accept();
+    wait_for_signals();
+    m_operator_rows.start();
+    m_server_rows.start();
+    announce_self();
+    m_state.timers.after(first_listing, [this] { list_daemons(); });
+    m_state.timers.after(second_listing, [this] { list_daemons(); });
+    m_state.timers.every(listing_period, [this] { list_daemons(); });
+    m_state.timers.every(heartbeat_period, [this] { heartbeat(); });
+    m_state.timers.every(housekeeping_period, [this] {
+        m_state.pool.expire();
+        m_state.load.drop_expired(m_state.timers.now());
+        std::erase_if(m_sessions, [](const auto& session) { return session.expired(); });
+    });
+    log_line("started")
+        .add("host", settings.host.value)
+        .add("zone", settings.zone.value)
+        .add("front", settings.front_address)
+        .add("boot", m_state.boot)
+        .info();
+    return true;
+}
+
+void gateway::accept() {
+    m_acceptor.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
+        if (error == boost::asio::error::operation_aborted) {
+            return;
+        }
+        if (!error) {
+            const auto session = std::make_shared<front_session>(m_state, std::move(socket));
+            m_sessions.push_back(session);
+            session->start();
+        }
+        accept();
+    });
+}
+
+// ---- state from the store ----
+
+void gateway::on_operator_rows(const table_follower::rows& rows, const std::vector<store_row>& changed) {
+    std::set<zone_name> evacuated;
+    for (const auto& [key, row] : rows) {
+        if (const auto asked = m_state.wire.read_evacuation(key)) {
+            evacuated.insert(asked->zone);
+        }
+    }
+    if (evacuated != m_state.servers.evacuated()) {
+        std::string zones;
+        for (const auto& zone : evacuated) {
+            zones.append(zones.empty() ? "" : ",").append(zone.value);
+        }
+        log_line("evacuated zones changed").add("zones", zones).add("version", m_operator_rows.version()).info();
+        m_state.servers.set_evacuated(std::move(evacuated));
+    }
+    for (const auto& row : changed) {
+        if (row.removed) {
+            continue;
+        }
+        auto state = m_state.wire.read_desired_state(row);
+        if (!state) {
+            continue;
+        }
+        const auto before = m_state.routes ? m_state.routes->state().version : 0;
+        if (m_state.routes && state->version <= before) {
+            log_line("ignored older desired state").add("version", state->version).add("current", before).warn();
+            continue;
+        }
+        m_state.routes = std::make_shared<const route_table>(std::move(*state));
+        log_line("desired state in force")
+            .add("version", m_state.routes->state().version)
+            .add("before", before)
+            .add("routes", m_state.routes->state().routes.size())
+            .info();
+    }
+    m_peers.send_status();
+}
+
+void gateway::on_server_rows(const std::vector<store_row>& changed) {
+    const auto now = m_state.timers.now();
+    for (const auto& row : changed) {
+        if (row.removed) {
+            log_line("server entry gone").add("server", row.key).add("store_in_trouble", m_server_rows.in_trouble()).info();
+            m_state.servers.remove(server_name(row.key), m_server_rows.in_trouble(), now);
+            m_state.pacer.forget(server_name(row.key));
+            continue;
+        }
+        const auto entry = m_state.wire.read_server(row);
+        if (!entry) {
+            log_line("server entry unusable").add("server", row.key).add("version", row.version).warn();
+            m_state.servers.remove(server_name(row.key), false, now);
+            continue;
+        }
+        log_line("server entry")
+            .add("server", row.key)
+            .add("phase", entry->phase == server_phase::ready ? "ready" : "draining")
+            .add("address", entry->address)
+            .add("version", row.version)
+            .debug();
+        m_state.servers.update(*entry, now);
+    }
+}
+
+// ---- other daemons ----
+
+daemon_status gateway::own_status() const {
+    daemon_status status;
+    status.boot = m_state.boot;
+    status.name = m_state.settings.host.value;
+    status.zone = m_state.settings.zone;
+    status.front_address = m_state.settings.front_address;
+    status.peer_address = m_state.settings.peer_address;
+    status.accepting = is_ready();
+    status.operator_rows_version = m_operator_rows.version();
+    status.server_rows_version = m_server_rows.version();
+    return status;
+}
+
+void gateway::announce_self() {
+    const auto request =
+        m_state.wire.write_row(store_table::daemon_rows, m_state.settings.host.value, m_state.settings.peer_address);
+    m_state.calls.call(m_state.settings.store_address, request, store_call_limit, [this](const call_result& result) {
+        if (m_state.stopping || (result.answer && result.answer->head.status == 200)) {
+            return;
+        }
+        log_line("own row not written").add("reason", result.failure).warn();
+        m_state.timers.after(announce_pause, [this] { announce_self(); });
+    });
+}
+
+void gateway::list_daemons() {
+    const auto request = m_state.wire.list_rows(store_table::daemon_rows, {});
+    m_state.calls.call(m_state.settings.store_address, request, store_call_limit, [this](const call_result& result) {
+        if (!result.answer) {
+            log_line("daemons not listed").add("reason", result.failure).warn();
+            return;
+        }
+        const auto page = m_state.wire.read_page(*result.answer);
+        if (const auto* listed = std::get_if<store_page>(&page)) {
+            for (const auto& row : listed->rows) {
+                m_peers.add_address(row.value);
+            }
+            m_peers.send_status();
+        }
+    });
+}
+
+void gateway::heartbeat() {
+    m_peers.send_status();
+    const auto now = m_state.timers.now();
+    for (const auto boot : m_state.daemons.take_dead(now)) {
+        log_line("daemon silent").add("boot", boot).warn();
+        m_state.load.remove_daemon(boot, now);
+    }
+    for (const auto& peer : m_state.daemons.alive()) {
+        const bool ahead = peer.operator_rows_version > m_operator_rows.version() ||
+                           peer.server_rows_version > m_server_rows.version();
+        const bool behind_for_long = m_operator_rows.in_trouble() || m_server_rows.in_trouble();
+        if (ahead && behind_for_long && !m_catching_up) {
+            catch_up_from(peer);
+            break;
+        }
+    }
+}
+
+void gateway::catch_up_from(const daemon_status& peer) {
+    m_catching_up = true;
+    const http_request request{"GET", std::string(snapshot_path), {}, {}};
+    m_state.calls.call(peer.peer_address, request, peer_call_limit, [this, name = peer.name](const call_result& result) {
+        m_catching_up = false;
+        wire::StateSnapshot snapshot;
+        if (!result.answer || !snapshot.ParseFromString(result.answer->body)) {
+            log_line("no rows from daemon").add("daemon", name).add("reason", result.failure).warn();
+            return;
+        }
+        table_follower::rows operator_rows;
+        table_follower::rows server_rows;
+        for (const auto& row : snapshot.rows()) {
+            auto& rows = row.table() == static_cast<std::uint32_t>(store_table::operator_rows) ? operator_rows : server_rows;
+            rows[row.key()] = {row.key(), row.value(), row.version(), false};
+        }
+        m_operator_rows.adopt(std::move(operator_rows), snapshot.operator_rows_version());
+        m_server_rows.adopt(std::move(server_rows), snapshot.server_rows_version());
+    });
+}
+
+http_answer gateway::answer_peer(const http_request& request) const {
+    if (path_of(request.target) != snapshot_path) {
+        return {{404, {}, {}}, {}};
+    }
+    wire::StateSnapshot snapshot;
+    const auto add = [&](const table_follower& follower, store_table table) {
+        for (const auto& [key, row] : follower.current()) {
+            auto& copy = *snapshot.add_rows();
+            copy.set_table(static_cast<std::uint32_t>(table));
+            copy.set_key(key);
+            copy.set_value(row.value);
+            copy.set_version(row.version);
+        }
+    };
+    add(m_operator_rows, store_table::operator_rows);
+    add(m_server_rows, store_table::server_rows);
+    snapshot.set_operator_rows_version(m_operator_rows.version());
+    snapshot.set_server_rows_version(m_server_rows.version());
+    return {{200, {}, {}}, snapshot.SerializeAsString()};
+}
+
+// ---- the directory and the platform's checks ----
+
+bool gateway::is_ready() const {
+    return !m_state.stopping && m_state.routes && m_server_rows.is_loaded();
+}
+
+http_answer gateway::answer_ready(const http_request& request) const {
+    if (!m_state.wire.is_readiness_check(request.target)) {
+        return {{404, {}, {}}, {}};
+    }
+    return {{is_ready() ? 200 : 503, {}, {}}, {}};
+}
+
+http_answer gateway::answer_directory(const http_request& request) {
+    const auto query = m_state.wire.read_locate(request.target);
+    if (!query) {
+        return {{404, {}, {}}, {}};
+    }
+    std::vector<std::string> in_zone;
+    std::vector<std::string> all;
+    auto statuses = m_state.daemons.alive();
+    statuses.push_back(own_status());
+    for (const auto& status : statuses) {
+        if (!status.accepting) {
+            continue;
+        }
+        all.push_back(status.front_address);
+        if (status.zone == query->zone) {
+            in_zone.push_back(status.front_address);
+        }
+    }
+    auto& chosen = in_zone.size() >= enough_in_zone ? in_zone : all;
+    if (chosen.empty()) {
+        return {{503, {}, {}}, {}};
+    }
+    std::shuffle(chosen.begin(), chosen.end(), m_state.random);
+    chosen.resize(std::min(chosen.size(), most_addresses));
+    return m_state.wire.locate_answer(chosen, locate_lifetime);
+}
+
+http_answer gateway::answer_metrics(const http_request& /*request*/) {
+    m_state.counters.set_gauge("open_requests", m_state.open_requests);
+    m_state.counters.set_gauge("known_servers", static_cast<double>(m_state.servers.size()));
+    m_state.counters.set_gauge("live_daemons", m_state.daemons.senders());
+    m_state.counters.set_counter("server_connections_opened", static_cast<std::int64_t>(m_state.pool.opened()));
+    return {{200, {}, {{"Content-Type", "text/plain; version=0.0.4"}}}, m_state.counters.text().toStdString()};
+}
+
+// ---- the stop ----
+
+void gateway::wait_for_signals() {
+    m_signals.async_wait([this](const boost::system::error_code& error, int signal) {
+        if (error) {
+            return;
+        }
+        if (signal == SIGHUP) {
+            // No setting can change while the process runs; a new file holds
+            // from the next start.
+            log_line("reload requested").add("outcome", "settings hold from the next start").info();
+        } else {
+            begin_stop();
+        }
+        wait_for_signals();
+    });
+}
+
+void gateway::begin_stop() {
+    if (m_stop_began) {
+        return;
+    }
+    m_stop_began = m_state.timers.now();
+    m_state.stopping = true;
+    log_line("stopping").add("open_requests", m_state.open_requests).info();
+    // Other daemons leave this one out of the directory at once.
+    m_peers.send_status();
+    const auto request = m_state.wire.remove_row(store_table::daemon_rows, m_state.settings.host.value);
+    m_state.calls.call(m_state.settings.store_address, request, store_call_limit, [](const call_result& result) {
+        if (!result.answer) {
+            log_line("own row not removed").add("reason", result.failure).warn();
+        }
+    });
+    m_state.timers.every(stop_check_period, [this] { continue_stop(); });
+}
+
+void gateway::continue_stop() {
+    const auto elapsed = m_state.timers.now() - *m_stop_began;
+    if (elapsed < accept_while_stopping) {
+        return;
+    }
+    if (m_acceptor.is_open()) {
+        boost::system::error_code ignored;
+        m_acceptor.close(ignored);
+        for (const auto& weak : m_sessions) {
+            if (const auto session = weak.lock()) {
+                session->close_if_idle();
+            }
+        }
+    }
+    std::erase_if(m_sessions, [](const auto& session) { return session.expired(); });
+    const bool done = m_state.open_requests == 0 && m_sessions.empty();
+    if (done || elapsed > m_state.settings.stop_grace - stop_margin) {
+        log_line("stopped").add("open_requests", m_state.open_requests).add("after_ms", elapsed).info();
+        m_state.loop.stop();
+    }
+}
+
+}  // namespace verbenahold::serving
--- /dev/null
+++ b/src/serving/gateway.hpp
@@ -0,0 +1,69 @@
+// One serving daemon: listens for callers, the platform and other daemons,
+// follows the desired state and the list of servers, and stops in order.
+#pragma once
+
+#include "gateway_state.hpp"
+#include "peer_link.hpp"
+#include "service_listener.hpp"
+#include "table_follower.hpp"
+
+#include <boost/asio/signal_set.hpp>
+
+#include <optional>
+#include <vector>
+
+namespace verbenahold::serving {
+
+class front_session;
+
+class gateway {
+public:
+    // `boot` differs with each start of the daemon.
+    gateway(boost::asio::io_context& loop, const serving_settings& settings, const wire_protocol& protocol,
+            std::uint64_t boot);
+    ~gateway();
+    gateway(const gateway&) = delete;
+    gateway& operator=(const gateway&) = delete;
+    gateway(gateway&&) = delete;
+    gateway& operator=(gateway&&) = delete;
+
+    // Opens all listeners. False, with the reason in `fault`, if one fails.
+    bool start(std::string& fault);
+
+private:
+    bool open_service(std::unique_ptr<service_listener>& listener, const std::string& address, service_handler handler,
+                      std::string& fault);
+    void accept();
+    void on_operator_rows(const table_follower::rows& rows, const std::vector<store_row>& changed);
+    void on_server_rows(const std::vector<store_row>& changed);
+    void announce_self();
+    void list_daemons();
+    void heartbeat();
+    void catch_up_from(const daemon_status& peer);
+    void wait_for_signals();
+    void begin_stop();
+    void continue_stop();
+
+    [[nodiscard]] bool is_ready() const;
+    [[nodiscard]] daemon_status own_status() const;
+    [[nodiscard]] http_answer answer_ready(const http_request& request) const;
+    [[nodiscard]] http_answer answer_directory(const http_request& request);
+    [[nodiscard]] http_answer answer_metrics(const http_request& request);
+    [[nodiscard]] http_answer answer_peer(const http_request& request) const;
+
+    gateway_state m_state;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::signal_set m_signals;
+    peer_link m_peers;
+    table_follower m_operator_rows;
+    table_follower m_server_rows;
+    std::unique_ptr<service_listener> m_ready;
+    std::unique_ptr<service_listener> m_directory;
+    std::unique_ptr<service_listener> m_metrics;
+    std::unique_ptr<service_listener> m_peer_service;
+    std::vector<std::weak_ptr<front_session>> m_sessions;
+    std::optional<time_point> m_stop_began;
+    bool m_catching_up = false;
+};
+
+}  // namespace verbenahold::serving
--- /dev/null
+++ b/src/serving/gateway_state.hpp
@@ -0,0 +1,85 @@
+// What the parts of one serving daemon share. All of it is used on the event
+// loop's thread only.
+#pragma once
+
+#include "connection_pool.hpp"
+#include "daemon_view.hpp"
+#include "engine_load.hpp"
+#include "http_caller.hpp"
+#include "placer.hpp"
+#include "repeat_budget.hpp"
+#include "request_guard.hpp"
+#include "route_table.hpp"
+#include "send_pacer.hpp"
+#include "server_registry.hpp"
+#include "serving_settings.hpp"
+#include "wire_protocol.hpp"
+
+#include "metrics.hpp"
+
+#include <memory>
+#include <random>
+
+namespace verbenahold::serving {
+
+// What happens to a request's work at its servers, told to other daemons.
+enum class work_event { started, read, ended };
+
+struct work_update {
+    work_id id;
+    work_event event = work_event::started;
+    std::vector<work_item> items;
+    // Time after which the work is over even if no end is heard of.
+    duration lifetime{};
+};
+
+// Told of what other daemons should learn. Each may be empty.
+struct peer_notices {
+    std::function<void(const work_update&)> on_work;
+    std::function<void(const server_name&)> on_server_trouble;
+    std::function<void(std::uint64_t fingerprint, int deaths)> on_request_death;
+};
+
+struct gateway_state {
+    gateway_state(const serving_settings& chosen, const wire_protocol& protocol, boost::asio::io_context& io,
+                  std::uint64_t started, std::uint64_t seed)
+        : settings(chosen),
+          wire(protocol),
+          loop(io),
+          timers(io),
+          pool(io, timers),
+          calls(pool, timers),
+          placing(separating_policy{}, seed),
+          pacer(chosen.cold),
+          repeats(chosen.repeats),
+          random(seed),
+          boot(started) {}
+
+    const serving_settings& settings;
+    const wire_protocol& wire;
+    boost::asio::io_context& loop;
+    loop_timers timers;
+    connection_pool pool;
+    http_caller calls;
+    metrics counters;
+
+    // Null until the first desired state is known.
+    std::shared_ptr<const route_table> routes;
+    server_registry servers;
+    engine_load load;
+    placer placing;
+    send_pacer pacer;
+    repeat_budget repeats;
+    request_guard guard;
+    daemon_view daemons;
+    peer_notices notices;
+    std::mt19937_64 random;
+    // Differs with each start of this daemon.
+    std::uint64_t boot = 0;
+    std::uint64_t last_request = 0;
+    // The daemon is to stop: it takes no new callers.
+    bool stopping = false;
+    int open_requests = 0;
+};
+
+}  // namespace verbenahold::serving
--- /dev/null
+++ b/src/serving/http_caller.cpp
@@ -0,0 +1,66 @@
+#include "http_caller.hpp"
+
+#include <utility>
+
+namespace verbenahold::serving {
+
+namespace {
+
+// State of one call until its answer or its time limit.
+struct open_call {
+    std::shared_ptr<server_connection> connection;
+    http_answer answer;
+    http_caller::callback done;
+    loop_timers::subscription limit{};
+
+    void end(loop_timers& timers, const call_result& result) {
+        if (!done) {
+            return;
+        }
+        timers.unsubscribe(limit);
+        std::exchange(done, nullptr)(result);
+    }
+};
+
+}  // namespace
+
+std::string request_bytes(const http_request& request, std::string_view host) {
+    std::string bytes = request.method + ' ' + request.target + " HTTP/1.1\r\n";
+    if (!host.empty()) {
+        bytes.append("Host: ").append(host).append("\r\n");
+    }
+    for (const auto& field : request.fields) {
+        bytes.append(field.name).append(": ").append(field.value).append("\r\n");
+    }
+    if (!request.body.empty() || request.method == "POST" || request.method == "PUT" || request.method == "PATCH") {
+        bytes.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
+    }
+    bytes.append("\r\n").append(request.body);
+    return bytes;
+}
+
+void http_caller::call(const std::string& address, const http_request& request, duration time_limit, callback done) {
+    const auto open = std::make_shared<open_call>();
+    open->connection = m_pool.take(address, default_idle_time);
+    open->done = std::move(done);
+    open->limit = m_timers.after(time_limit, [this, open] {
+        open->connection->close();
+        open->end(m_timers, {std::nullopt, "no answer within the time limit"});
+    });
+    answer_callbacks callbacks;
+    callbacks.on_head = [open](const http_answer_head& head) {
+        open->answer.head = head;
+        return true;
+    };
+    callbacks.on_body = [open](const std::string& body) { open->answer.body += body; };
+    callbacks.on_complete = [this, open] {
+        m_pool.put_back(open->connection);
+        open->end(m_timers, {open->answer, {}});
+    };
+    callbacks.on_failure = [this, open](const call_failure& failure) {
+        open->end(m_timers, {std::nullopt, std::string(failure_reason(failure))});
+    };
+    open->connection->send(request_bytes(request, address), request.method == "HEAD", std::move(callbacks));
+}
+
+}  // namespace verbenahold::serving
--- /dev/null
+++ b/src/serving/log_line.cpp
@@ -0,0 +1,47 @@
+#include "log_line.hpp"
+
+#include "logging.hpp"
+
+#include <cstdio>
+
+namespace verbenahold::serving {
+
+log_line& log_line::add(std::string_view name, std::string_view value) {
+    m_text.append(" ").append(name).append("=");
+    const bool plain = !value.empty() && value.find_first_of(" \"\n\r=") == std::string_view::npos;
+    if (plain) {
+        m_text.append(value);
+        return *this;
+    }
+    m_text += '"';
+    for (const char letter : value) {
+        m_text += letter == '"' || letter == '\n' || letter == '\r' ? '\'' : letter;
+    }
+    m_text += '"';
+    return *this;
+}
+
+log_line& log_line::add_number(std::string_view name, double value) {
+    char text[32];
+    const int length = std::snprintf(text, sizeof text, "%.1f", value);
+    return add(name, std::string_view(text, static_cast<std::size_t>(length)));
+}
+
+log_line& log_line::add(std::string_view name, duration value) {
+    return add_number(name, std::chrono::duration<double, std::milli>(value).count());
+}
+
+void log_line::debug() const {
+    log_debug(m_text);
+}
+void log_line::info() const {
+    log_info(m_text);
+}
+void log_line::warn() const {
+    log_warning(m_text);
+}
+void log_line::error() const {
+    log_error(m_text);
+}
+
+}  // namespace verbenahold::serving
--- /dev/null
+++ b/src/serving/loop_timers.hpp
@@ -0,0 +1,38 @@
+// The timer service of the serving process: parts subscribe with a period or a
+// delay and are called on its event loop.
+#pragma once
+
+#include "timer_queue.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace verbenahold::serving {
+
+class loop_timers {
+public:
+    using callback = timer_queue::callback;
+    using subscription = timer_queue::subscription;
+
+    explicit loop_timers(boost::asio::io_context& loop);
+
+    // Monotonic time since this service was made.
+    [[nodiscard]] time_point now() const;
+    // Calls `action` each `period` until unsubscribed.
+    subscription every(duration period, callback action);
+    // Calls `action` once after `delay`.
+    subscription after(duration delay, callback action);
+    // Does nothing for a subscription that has ended.
+    void unsubscribe(subscription which) { m_queue.remove(which); }
+
+private:
+    subscription add(duration delay, duration period, callback action);
+    void arm();
+
+    std::chrono::steady_clock::time_point m_start;
+    boost::asio::steady_timer m_timer;
+    std::optional<time_point> m_armed_for;
+    timer_queue m_queue;
+};
+
+}  // namespace verbenahold::serving
--- /dev/null
+++ b/src/serving/peer_link.cpp
@@ -0,0 +1,207 @@
+#include "peer_link.hpp"
+
+#include "log_line.hpp"
+#include "serving.pb.h"
+
+namespace verbenahold::serving {
+
+namespace {
+
+using boost::asio::ip::udp;
+
+udp::endpoint udp_endpoint_of(const std::string& address) {
+    const auto endpoint = endpoint_of(address);
+    return {endpoint.address(), endpoint.port()};
+}
+
+std::uint32_t milliseconds_of(duration value) {
+    return static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
+}
+
+}  // namespace
+
+peer_link::peer_link(gateway_state& state, std::function<daemon_status()> own_status)
+    : m_state(state),
+      m_own_status(std::move(own_status)),
+      m_socket(state.loop),
+      m_gathered(std::make_unique<wire::Datagram>()) {}
+
+peer_link::~peer_link() = default;
+
+bool peer_link::open(const std::string& address, std::string& fault) {
+    m_own_address = address;
+    const auto endpoint = udp_endpoint_of(address);
+    boost::system::error_code error;
+    m_socket.open(endpoint.protocol(), error);
+    if (!error) {
+        m_socket.bind(endpoint, error);
+    }
+    if (!error) {
+        m_socket.non_blocking(true, error);
+    }
+    if (error) {
+        fault = "can't bind UDP " + address + ": " + error.message();
+        return false;
+    }
+    receive();
+    return true;
+}
+
+void peer_link::add_address(const std::string& address) {
+    if (address == m_own_address || m_peers.contains(address)) {
+        return;
+    }
+    const auto endpoint = udp_endpoint_of(address);
+    if (endpoint.port() == 0) {
+        log_line("ignored daemon address").add("address", address).warn();
+        return;
+    }
+    m_peers.emplace(address, endpoint);
+}
+
+void peer_link::receive() {
+    m_socket.async_receive_from(boost::asio::buffer(m_buffer), m_sender,
+                                [this](const boost::system::error_code& error, std::size_t size) {
+                                    if (error == boost::asio::error::operation_aborted) {
+                                        return;
+                                    }
+                                    // Other errors report that a datagram met a closed port.
+                                    if (!error) {
+                                        digest(size);
+                                    }
+                                    receive();
+                                });
+}
+
+void peer_link::digest(std::size_t size) {
+    wire::Datagram datagram;
+    if (!datagram.ParseFromArray(m_buffer.data(), static_cast<int>(size)) || datagram.boot() == m_state.boot) {
+        m_state.counters.add("datagrams_ignored");
+        return;
+    }
+    const auto now = m_state.timers.now();
+    if (datagram.has_status()) {
+        const auto& status = datagram.status();
+        daemon_status heard;
+        heard.boot = datagram.boot();
+        heard.name = status.name();
+        heard.zone = zone_name(status.zone());
+        heard.front_address = status.front_address();
+        heard.peer_address = status.peer_address();
+        heard.accepting = status.accepting();
+        heard.operator_rows_version = status.operator_rows_version();
+        heard.server_rows_version = status.server_rows_version();
+        add_address(heard.peer_address);
+        if (m_state.daemons.on_status(heard, now)) {
+            log_line("daemon joined").add("daemon", heard.name).add("boot", heard.boot).info();
+        }
+    }
+    for (const auto& update : datagram.work()) {
+        digest_work(datagram.boot(), update);
+    }
+    for (const auto& server : datagram.troubled_servers()) {
+        m_state.servers.report_failure(server_name(server), now);
+    }
+    for (const auto& death : datagram.deaths()) {
+        m_state.guard.on_heard(death.fingerprint(), static_cast<int>(death.deaths()), now);
+    }
+}
+
+void peer_link::digest_work(std::uint64_t boot, const wire::WorkUpdate& update) {
+    const auto now = m_state.timers.now();
+    const work_id id{boot, update.number()};
+    switch (static_cast<work_event>(update.event())) {
+        case work_event::started:
+            for (const auto& item : update.items()) {
+                const auto context = static_cast<std::int64_t>(item.context_tokens());
+                m_state.load.add(id,
+                                 {server_name(item.server()), item.read_ms(), context, item.writes(),
+                                  std::chrono::milliseconds(item.pause_ms())},
+                                 now, now + std::chrono::milliseconds(update.lifetime_ms()));
+            }
+            break;
+        case work_event::read:
+            m_state.load.reading_done(id, now);
+            break;
+        case work_event::ended:
+            m_state.load.remove(id, now);
+            break;
+    }
+}
+
+void peer_link::send_status() {
+    const auto own = m_own_status();
+    wire::Datagram datagram;
+    auto& status = *datagram.mutable_status();
+    status.set_name(own.name);
+    status.set_zone(own.zone.value);
+    status.set_front_address(own.front_address);
+    status.set_peer_address(own.peer_address);
+    status.set_accepting(own.accepting);
+    status.set_operator_rows_version(own.operator_rows_version);
+    status.set_server_rows_version(own.server_rows_version);
+    send_to_all(datagram);
+}
+
+void peer_link::send_work(const work_update& update) {
+    auto& message = *m_gathered->add_work();
+    message.set_number(update.id.number);
+    message.set_event(static_cast<std::uint32_t>(update.event));
+    message.set_lifetime_ms(milliseconds_of(update.lifetime));
+    for (const auto& item : update.items) {
+        auto& part = *message.add_items();
+        part.set_server(item.server.value);
+        part.set_read_ms(static_cast<float>(item.read_ms));
+        part.set_context_tokens(static_cast<std::uint64_t>(item.context_tokens));
+        part.set_writes(item.writes);
+        part.set_pause_ms(milliseconds_of(item.pause_target));
+    }
+    schedule();
+}
+
+void peer_link::send_trouble(const server_name& server) {
+    m_gathered->add_troubled_servers(server.value);
+    schedule();
+}
+
+void peer_link::send_death(std::uint64_t fingerprint, int deaths) {
+    auto& death = *m_gathered->add_deaths();
+    death.set_fingerprint(fingerprint);
+    death.set_deaths(static_cast<std::uint32_t>(deaths));
+    schedule();
+}
+
+void peer_link::schedule() {
+    if (m_gathered->ByteSizeLong() > largest_datagram / 2) {
+        flush();
+    } else if (!m_scheduled) {
+        m_scheduled = true;
+        m_state.timers.after(gathering_time, [this] {
+            m_scheduled = false;
+            flush();
+        });
+    }
+}
+
+void peer_link::flush() {
+    if (m_gathered->ByteSizeLong() == 0) {
+        return;
+    }
+    send_to_all(*m_gathered);
+    m_gathered->Clear();
+}
+
+void peer_link::send_to_all(const wire::Datagram& datagram) {
+    wire::Datagram signed_datagram = datagram;
+    signed_datagram.set_boot(m_state.boot);
+    const std::string bytes = signed_datagram.SerializeAsString();
+    for (const auto& [address, endpoint] : m_peers) {
+        boost::system::error_code error;
+        m_socket.send_to(boost::asio::buffer(bytes), endpoint, 0, error);
+        if (error) {
+            m_state.counters.add("datagrams_unsent");
+        }
+    }
+}
+
+}  // namespace verbenahold::serving
--- /dev/null
+++ b/src/serving/peer_link.hpp
@@ -0,0 +1,66 @@
+// Datagrams between the daemons: what each says of itself, the work that it
+// gives servers and what it learned about servers and requests. Lost ones do
+// no lasting harm: statuses repeat and work expires.
+#pragma once
+
+#include "gateway_state.hpp"
+
+#include <boost/asio/ip/udp.hpp>
+
+#include <array>
+#include <functional>
+#include <map>
+#include <set>
+
+namespace verbenahold::serving::wire {
+class Datagram;
+class WorkUpdate;
+}  // namespace verbenahold::serving::wire
+
+namespace verbenahold::serving {
+
+// Updates are gathered for this long, so that several share a datagram.
+inline constexpr duration gathering_time = std::chrono::milliseconds(1);
+// Largest payload that crosses common networks in one packet.
+inline constexpr std::size_t largest_datagram = 1'300;
+
+class peer_link {
+public:
+    // `own_status` is asked at each heartbeat.
+    peer_link(gateway_state& state, std::function<daemon_status()> own_status);
+    ~peer_link();
+    peer_link(const peer_link&) = delete;
+    peer_link& operator=(const peer_link&) = delete;
+    peer_link(peer_link&&) = delete;
+    peer_link& operator=(peer_link&&) = delete;
+
+    bool open(const std::string& address, std::string& fault);
+    // A daemon may be at this address.
+    void add_address(const std::string& address);
+    void send_status();
+
+    void send_work(const work_update& update);
+    void send_trouble(const server_name& server);
+    void send_death(std::uint64_t fingerprint, int deaths);
+
+private:
+    void receive();
+    void digest(std::size_t size);
+    void digest_work(std::uint64_t boot, const wire::WorkUpdate& update);
+    // Sends what was gathered, soon.
+    void schedule();
+    void flush();
+    void send_to_all(const wire::Datagram& datagram);
+
+    gateway_state& m_state;
+    std::function<daemon_status()> m_own_status;
+    boost::asio::ip::udp::socket m_socket;
+    boost::asio::ip::udp::endpoint m_sender;
+    std::array<char, 4'096> m_buffer{};
+    std::map<std::string, boost::asio::ip::udp::endpoint> m_peers;
+    std::unique_ptr<wire::Datagram> m_gathered;
+    std::string m_own_address;
+    bool m_scheduled = false;
+};
+
+}  // namespace verbenahold::serving
--- /dev/null
+++ b/src/serving/request_reader.hpp
@@ -0,0 +1,70 @@
+// Reads HTTP requests from the bytes of a connection, with strict framing:
+// conflicting lengths, bare characters and what else lets two readers disagree
+// about where a request ends are refused.
+#pragma once
+
+#include "http_types.hpp"
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace verbenahold::serving {
+
+struct request_bounds {
+    std::size_t max_header_bytes = 16'384;
+    std::size_t max_body_bytes = 4'194'304;
+};
+
+class request_reader {
+public:
+    enum class progress { incomplete, complete, broken };
+
+    explicit request_reader(request_bounds bounds);
+
+    // Holds for the next request.
+    void set_bounds(request_bounds bounds) { m_bounds = bounds; }
+    void feed(std::string_view bytes);
+    [[nodiscard]] progress state() const { return m_state; }
+
+    // Valid when complete; reading goes on with the next request after the
+    // next feed().
+    http_request take_request();
+    // What concerns the connection of the request that was last complete.
+    [[nodiscard]] bool keep_alive() const { return m_keep_alive; }
+    [[nodiscard]] bool is_http_1_0() const { return m_http_1_0; }
+
+    // Status that answers a broken request: 400, 413 or 431.
+    [[nodiscard]] int fault_status() const { return m_fault_status; }
+    [[nodiscard]] const std::string& fault() const { return m_fault; }
+
+    // A request has begun and is not complete.
+    [[nodiscard]] bool has_begun() const { return m_state == progress::incomplete && m_begun; }
+    [[nodiscard]] bool header_done() const { return m_parser && m_parser->is_header_done(); }
+    // The caller waits for a go-ahead before it sends the body; true once.
+    bool take_expects_continue();
+    // Bytes of further requests that wait.
+    [[nodiscard]] std::size_t waiting_bytes() const { return m_input.size(); }
+
+private:
+    using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+    void make_parser();
+    void parse();
+
+    request_bounds m_bounds;
+    std::optional<parser> m_parser;
+    std::string m_input;
+    progress m_state = progress::incomplete;
+    std::string m_fault;
+    int m_fault_status = 400;
+    bool m_begun = false;
+    bool m_keep_alive = true;
+    bool m_http_1_0 = false;
+    bool m_continue_sent = false;
+};
+
+}  // namespace verbenahold::serving
--- /dev/null
+++ b/src/serving/server_connection.hpp
@@ -0,0 +1,98 @@
+// One TCP connection from this daemon to another process, which carries one
+// request at a time.
+#pragma once
+
+#include "answer_parser.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+
+namespace verbenahold::serving {
+
+// The connection was not established: the request was certainly not sent.
+struct not_connected {
+    std::string reason;
+};
+// The request may have been read and run; its answer is missing or incomplete.
+struct answer_missing {
+    std::string reason;
+};
+// What came is no valid answer.
+struct answer_broken {
+    std::string reason;
+};
+using call_failure = std::variant<not_connected, answer_missing, answer_broken>;
+
+std::string_view failure_reason(const call_failure& failure);
+
+// Callbacks of one request. None is called after on_complete or on_failure.
+struct answer_callbacks {
+    // False if the answer is another request's: it is skipped.
+    std::function<bool(const http_answer_head&)> on_head;
+    std::function<void(std::string)> on_body;
+    std::function<void()> on_complete;
+    std::function<void(const call_failure&)> on_failure;
+};
+
+class server_connection : public std::enable_shared_from_this<server_connection> {
+public:
+    server_connection(boost::asio::io_context& loop, std::string address);
+
+    // Sends a request, first connecting if needed. The bytes are a whole
+    // HTTP/1.1 request.
+    void send(std::string request, bool is_head_request, answer_callbacks callbacks);
+    // Ends the connection without further callbacks; with a reset if something
+    // is under way, so that the peer notices at once.
+    void close();
+
+    // Reading stops while paused, so that a slow caller slows the server.
+    void pause_reading(bool paused);
+
+    [[nodiscard]] const std::string& address() const { return m_address; }
+    // The connection is open, idle and in step with the server.
+    [[nodiscard]] bool is_reusable() const { return m_reusable && m_socket.is_open(); }
+    // Whether this connection carried a request before the current one.
+    [[nodiscard]] bool was_used() const { return m_requests > 1; }
+    // Lifetime of an idle connection that the server announced, in seconds; 0
+    // if it announced none.
+    [[nodiscard]] int announced_idle_seconds() const { return m_idle_seconds; }
+
+private:
+    void connect();
+    void write();
+    void read();
+    void on_read(const boost::system::error_code& error, std::size_t count);
+    void digest(answer_parser::progress progress);
+    void finish();
+    void fail(call_failure failure);
+    void set_options();
+
+    boost::asio::ip::tcp::socket m_socket;
+    std::string m_address;
+    std::string m_output;
+    std::array<char, 16'384> m_chunk{};
+    answer_parser m_parser;
+    answer_callbacks m_callbacks;
+    bool m_busy = false;
+    bool m_connected = false;
+    bool m_closed = false;
+    bool m_writing = false;
+    bool m_reading = false;
+    bool m_paused = false;
+    bool m_head_reported = false;
+    bool m_skipping = false;
+    bool m_reusable = false;
+    bool m_head_request = false;
+    int m_requests = 0;
+    int m_idle_seconds = 0;
+};
+
+// An endpoint from "IP:PORT"; port 0 of the unspecified address if malformed.
+boost::asio::ip::tcp::endpoint endpoint_of(std::string_view address);
+
+}  // namespace verbenahold::serving
--- /dev/null
+++ b/src/serving/service_listener.hpp
@@ -0,0 +1,48 @@
+// A small HTTP server for what is answered at once from memory: readiness, the
+// directory, metrics and the state for other daemons.
+#pragma once
+
+#include "http_types.hpp"
+#include "loop_timers.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace verbenahold::serving {
+
+using service_handler = std::function<http_answer(const http_request&)>;
+
+class service_session;
+
+class service_listener {
+public:
+    service_listener(boost::asio::io_context& loop, loop_timers& timers, service_handler handler);
+    ~service_listener();
+    service_listener(const service_listener&) = delete;
+    service_listener& operator=(const service_listener&) = delete;
+    service_listener(service_listener&&) = delete;
+    service_listener& operator=(service_listener&&) = delete;
+
+    // Listens on "IP:PORT". False, with the reason in `fault`, if it can't.
+    bool listen(const std::string& address, std::string& fault);
+
+private:
+    void accept();
+
+    boost::asio::io_context& m_loop;
+    loop_timers& m_timers;
+    service_handler m_handler;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+};
+
+// Opens, binds and listens; false, with the reason in `fault`, if it can't.
+bool open_listener(boost::asio::ip::tcp::acceptor& acceptor, const std::string& address, std::string& fault);
+
+// Bytes of an answer whose body has a length.
+std::string answer_bytes(const http_answer& answer, bool close, bool head_only);
+
+}  // namespace verbenahold::serving
--- /dev/null
+++ b/src/serving/serving_settings.hpp
@@ -0,0 +1,37 @@
+// Settings of one serving daemon.
+#pragma once
+
+#include "repeat_budget.hpp"
+#include "send_pacer.hpp"
+
+#include "verbenahold/types.hpp"
+
+#include <string>
+
+namespace verbenahold::serving {
+
+struct serving_settings {
+    host_name host;
+    zone_name zone;
+    // IPv4 address of this host.
+    std::string ip;
+    // Addresses to listen on, "IP:PORT"; empty where the role serves none.
+    std::string front_address;
+    std::string ready_address;
+    std::string directory_address;
+    // For other daemons, TCP and UDP.
+    std::string peer_address;
+    // For metrics; empty for none.
+    std::string metrics_address;
+    std::string store_address;
+    // Time from the request to stop until the process is killed.
+    duration stop_grace = std::chrono::seconds(8);
+    repeat_limits repeats;
+    cold_bound cold;
+    // Longest reservation of memory that a model engine grants.
+    duration longest_hold = std::chrono::seconds(20);
+    // Longest lifetime of the directory's answers that callers heed.
+    duration longest_locate_lifetime = std::chrono::seconds(5);
+};
+
+}  // namespace verbenahold::serving
