--- a/src/routing/desired_state.hpp
+++ b/src/routing/desired_state.hpp
@@ -69,6 +69,10 @@
     double read_tokens_per_ms = 1;
     // Milliseconds for a million pairs of a token and an earlier one.
     double read_ms_per_1m_pairs = 0;
+    // Prompt tokens read in one step at most.
+    int read_tokens_per_step = 1;
+    // Mean prompt of all requests of the service, in tokens.
+    double usual_prompt_tokens = 1;
     // Milliseconds that each step grows by when a prompt is spread over servers.
     double spread_step_ms = 0;
 };
--- a/src/routing/engine_load.cpp
+++ b/src/routing/engine_load.cpp
@@ -4,14 +4,10 @@
 
 namespace verbenahold::serving {
 
-namespace {
-
-bool is_interactive(const work_item& item) {
-    return item.writes && item.pause_target.count() > 0 && item.pause_target <= short_pause;
+bool is_interactive(duration pause_target) {
+    return pause_target.count() > 0 && pause_target <= short_pause;
 }
 
-}  // namespace
-
 double reading_ms(const engine_figures& engine, std::int64_t tokens) {
     const auto count = static_cast<double>(tokens);
     const double million_pairs = count * count / 2 / 1e6;
@@ -24,18 +20,48 @@
     return step * engine.steps_per_pass;
 }
 
+namespace {
+
+void count_sequence(server_load& load, const work_item& item, int change) {
+    if (!item.writes || item.pause_target.count() == 0) {
+        return;
+    }
+    (is_interactive(item.pause_target) ? load.short_sequences : load.long_sequences) += change;
+}
+
+// How long the activity of a server without work is remembered.
+constexpr duration activity_memory = std::chrono::seconds(30);
+
+}  // namespace
+
+void engine_load::note_activity(const server_name& server, time_point now) {
+    const auto found = m_servers.find(server);
+    if (found != m_servers.end()) {
+        found->second.last_activity = now;
+    }
+}
+
+time_point engine_load::last_activity(const server_name& server) const {
+    const auto found = m_servers.find(server);
+    return found == m_servers.end() ? time_point{} : found->second.last_activity;
+}
+
+time_point engine_load::newest_read(const server_name& server) const {
+    const auto found = m_servers.find(server);
+    return found == m_servers.end() ? time_point{} : found->second.newest_read;
+}
+
 void engine_load::add(work_id id, const work_item& item, time_point now, time_point expires) {
     auto& request = m_requests[id];
     request.expires = expires;
+    request.added = now;
     request.items.push_back(item);
     auto& server = m_servers[item.server];
     if (item.writes) {
         ++server.load.places;
         server.load.context_tokens += item.context_tokens;
     }
-    if (is_interactive(item)) {
-        ++server.load.short_sequences;
-    }
+    count_sequence(server.load, item, 1);
     if (request.reading) {
         ++server.reading_items;
         const auto takes = std::chrono::microseconds(static_cast<std::int64_t>(item.read_ms * 1'000));
@@ -57,7 +83,7 @@
     }
 }
 
-void engine_load::detach(const tracked_request& request, time_point now) {
+void engine_load::detach(const tracked_request& request) {
     for (const auto& item : request.items) {
         const auto found = m_servers.find(item.server);
         if (found == m_servers.end()) {
@@ -68,19 +94,23 @@
             --load.places;
             load.context_tokens -= item.context_tokens;
         }
-        if (is_interactive(item)) {
-            --load.short_sequences;
-        }
-        if (load.places <= 0 && found->second.reading_items == 0 && found->second.reading_ends <= now) {
-            m_servers.erase(found);
-        }
+        count_sequence(load, item, -1);
     }
 }
 
 void engine_load::reading_done(work_id id, time_point now) {
     const auto found = m_requests.find(id);
-    if (found != m_requests.end()) {
-        stop_reading(found->second, now);
+    if (found == m_requests.end()) {
+        return;
+    }
+    stop_reading(found->second, now);
+    const auto& items = found->second.items;
+    // A prompt that is spread waits for its slowest part and says nothing
+    // about the others.
+    if (items.size() == 1) {
+        auto& server = m_servers[items.front().server];
+        server.newest_read = std::max(server.newest_read, found->second.added);
+        server.last_activity = now;
     }
 }
 
@@ -90,7 +120,7 @@
         return;
     }
     stop_reading(found->second, now);
-    detach(found->second, now);
+    detach(found->second);
     m_requests.erase(found);
 }
 
@@ -115,6 +145,10 @@
     for (const auto& id : expired) {
         remove(id, now);
     }
+    std::erase_if(m_servers, [&](const auto& entry) {
+        const auto& server = entry.second;
+        return server.load.places <= 0 && server.reading_items == 0 && now - server.last_activity > activity_memory;
+    });
 }
 
 server_load engine_load::load_of(const server_name& server, time_point now) const {
--- a/src/routing/engine_load.hpp
+++ b/src/routing/engine_load.hpp
@@ -34,8 +34,10 @@
 struct server_load {
     // Requests that hold a place: they read or write there.
     int places = 0;
-    // Writing or reading sequences with a pause target under `short_pause`.
+    // Writing or reading sequences with a pause target up to `short_pause`.
     int short_sequences = 0;
+    // The other sequences that answer event by event.
+    int long_sequences = 0;
     std::int64_t context_tokens = 0;
     // Time until all reading that was given to the server is done.
     double backlog_ms = 0;
@@ -45,6 +47,8 @@
 // lies between the pause targets of short and of longer prompts.
 inline constexpr duration short_pause = std::chrono::milliseconds(400);
 
+// Whether the caller notices short pauses.
+bool is_interactive(duration pause_target);
 // Milliseconds that one server reads `tokens` of a prompt, alone.
 double reading_ms(const engine_figures& engine, std::int64_t tokens);
 // Milliseconds of a pass in which nothing is read.
@@ -58,6 +62,14 @@
     // The first event came: everything read for the request is done.
     void reading_done(work_id id, time_point now);
     void remove(work_id id, time_point now);
+    // An event of a stream came from the server.
+    void note_activity(const server_name& server, time_point now);
+    // When something last came from the server; the start of time if never.
+    [[nodiscard]] time_point last_activity(const server_name& server) const;
+    // When the newest request whose reading is done was sent to the server:
+    // servers read in the order of arrival, so one that was sent long before
+    // is stuck.
+    [[nodiscard]] time_point newest_read(const server_name& server) const;
     // The daemon ended: all its requests are gone.
     void remove_daemon(std::uint64_t daemon, time_point now);
     // Drops items past their time, whose end was never heard of.
@@ -70,15 +82,18 @@
     struct tracked_request {
         std::vector<work_item> items;
         bool reading = true;
+        time_point added{};
         time_point expires{};
     };
     struct tracked_server {
         server_load load;
         int reading_items = 0;
         time_point reading_ends{};
+        time_point last_activity{};
+        time_point newest_read{};
     };
 
-    void detach(const tracked_request& request, time_point now);
+    void detach(const tracked_request& request);
     void stop_reading(tracked_request& request, time_point now);
 
     std::map<work_id, tracked_request> m_requests;
--- a/src/routing/placer.cpp
+++ b/src/routing/placer.cpp
@@ -1,6 +1,9 @@
 #include "placer.hpp"
 
+#include "lateness.hpp"
+
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace verbenahold::serving {
@@ -13,121 +16,195 @@
 // Retry-After when all servers are at the bound of what they may be sent in a
 // second.
 constexpr duration retry_when_paced = std::chrono::milliseconds(300);
-// Weight in milliseconds of a place that is taken and of another zone, when
-// servers are otherwise alike.
-constexpr double place_weight_ms = 1.5;
-constexpr double other_zone_ms = 1;
-// Cost in milliseconds of reading beside an interactive stream.
-constexpr double beside_short_ms = 12;
-// A sequence more than the server has places for waits for another to end.
-constexpr double no_place_ms = 500;
-// What a short stream gains by joining others instead of an idle server, which
-// long prompts need.
-constexpr double packing_gain_ms = 4;
+
+// Outstanding requests count this much more than the way to another zone.
+constexpr double place_cost = 10;
+constexpr double other_zone_cost = 1;
+
+// Numbers of servers that a prompt is spread over, the first one included.
+constexpr std::array<std::size_t, 9> spreads{1, 2, 3, 4, 6, 8, 11, 14, most_helpers + 1};
 
 duration from_ms(double milliseconds) {
     return std::chrono::microseconds(std::llround(milliseconds * 1'000));
 }
 
+double to_ms(duration value) {
+    return std::chrono::duration<double, std::milli>(value).count();
+}
+
 std::size_t draw(std::mt19937_64& random, std::size_t count) {
     return std::uniform_int_distribution<std::size_t>(0, count - 1)(random);
 }
 
-// The entries sorted by cost, equal ones in random order.
-template <class Cost>
-std::vector<const server_entry*> cheapest_first(const placement_field& field, Cost cost) {
-    std::vector<std::pair<double, const server_entry*>> ranked;
+placement alone_on(const server_entry* server) {
+    return {.first = server, .helpers = {}, .part_ms = 0, .predicted = {}};
+}
+
+placement place_plain(const placement_field& field) {
     std::uniform_real_distribution<double> tie(0, 0.5);
+    const server_entry* best = nullptr;
+    double least = 0;
     for (const server_entry* server : field.servers) {
-        ranked.emplace_back(cost(*server) + tie(field.random), server);
-    }
-    std::sort(ranked.begin(), ranked.end());
-    std::vector<const server_entry*> sorted;
-    for (const auto& [unused, server] : ranked) {
-        sorted.push_back(server);
+        const double away = server->zone == field.request.own_zone ? 0 : other_zone_cost;
+        const double cost = field.load.load_of(server->id, field.now).places * place_cost + away + tie(field.random);
+        if (best == nullptr || cost < least) {
+            best = server;
+            least = cost;
+        }
     }
-    return sorted;
+    return alone_on(best);
 }
 
-placement place_plain(const placement_field& field) {
-    const auto ranked = cheapest_first(field, [&](const server_entry& server) {
-        const auto load = field.load.load_of(server.id, field.now);
-        return load.places * 10 + (server.zone == field.request.own_zone ? 0 : other_zone_ms);
-    });
-    return {.first = ranked.front(), .helpers = {}, .part_ms = 0, .predicted = {}};
-}
+// One server with what is known of its load.
+struct weighed_server {
+    const server_entry* server = nullptr;
+    server_load load;
+    double base_pass_ms = 0;
+};
+
+class spread_search {
+public:
+    spread_search(const placement_field& field, const engine_figures& engine)
+        : m_request(field.request), m_engine(engine), m_alone_ms(reading_ms(engine, field.request.prompt_tokens)) {
+        std::uniform_real_distribution<double> tie(0, tie_cost);
+        for (const server_entry* server : field.servers) {
+            const auto load = field.load.load_of(server->id, field.now);
+            m_servers.push_back({server, load, pass_ms(engine, load)});
+            m_ties.push_back(tie(field.random));
+        }
+        m_weight = request_weight(engine, field.request.prompt_tokens);
+    }
 
-placement place_short(const placement_field& field, const engine_figures& engine, double alone_ms) {
-    const int packed_places = std::max(1, engine.batch_slots - places_left_by_packing);
-    double best_wait = 0;
-    const auto ranked = cheapest_first(field, [&](const server_entry& server) {
-        const auto load = field.load.load_of(server.id, field.now);
-        double cost = load.backlog_ms + pass_ms(engine, load) * 0.2;
-        if (load.places >= engine.batch_slots) {
-            cost += no_place_ms;
-        } else if (load.places >= packed_places) {
-            cost += place_weight_ms * load.places;
-        } else {
-            cost -= packing_gain_ms * load.short_sequences;
+    // The cheapest way to place the request.
+    placement best() {
+        std::optional<placement> best;
+        double least = 0;
+        for (const auto count : spreads) {
+            if (count > m_servers.size()) {
+                break;
+            }
+            const auto [candidate, cost] = spread_over(count);
+            if (!best || cost < least) {
+                best = candidate;
+                least = cost;
+            }
+            // Short prompts gain nothing from being spread.
+            if (m_alone_ms / static_cast<double>(count) < shortest_part_ms) {
+                break;
+            }
         }
-        return cost;
-    });
-    const auto load = field.load.load_of(ranked.front()->id, field.now);
-    best_wait = load.backlog_ms + pass_ms(engine, load) * 1.5 + alone_ms;
-    return {.first = ranked.front(), .helpers = {}, .part_ms = alone_ms, .predicted = from_ms(best_wait)};
-}
+        return *best;
+    }
 
-placement place_spread(const placement_field& field, const engine_figures& engine, double alone_ms) {
-    const auto parts_wanted = static_cast<std::size_t>(std::ceil(alone_ms / longest_part_ms));
-    const auto parts = std::clamp<std::size_t>(parts_wanted, 1, std::min(most_helpers + 1, field.servers.size()));
-    const auto ranked = cheapest_first(field, [&](const server_entry& server) {
-        const auto load = field.load.load_of(server.id, field.now);
-        double cost = load.backlog_ms + beside_short_ms * load.short_sequences + place_weight_ms * load.places;
-        if (load.places >= engine.batch_slots) {
-            cost += no_place_ms;
+private:
+    // Random cost that spreads equal choices.
+    static constexpr double tie_cost = 0.01;
+    // Parts shorter than this cost more in passes than they save in reading.
+    static constexpr double shortest_part_ms = 40;
+    // A request more than the server has places for waits for another to end.
+    static constexpr double no_place_cost = 1;
+    // Memory that is not free when the prompt has been read stops the request
+    // or another one.
+    static constexpr double no_memory_cost = 2;
+    // What an interactive stream gains by joining others: servers without any
+    // remain for long reading.
+    static constexpr double packing_gain = 0.03;
+    // What each further server costs, in callers that are late.
+    static constexpr double server_cost = 0.02;
+
+    [[nodiscard]] bool interactive() const { return is_interactive(m_request.matched->pause_target); }
+
+    // Time from now until the server has read a part that is sent now.
+    [[nodiscard]] double part_done_ms(const weighed_server& server, double part_ms) const {
+        const double wait = std::max(server.base_pass_ms * 0.5, server.load.backlog_ms);
+        return wait + server.base_pass_ms + part_ms;
+    }
+
+    [[nodiscard]] double cost_of_first(const weighed_server& server) const {
+        double cost = 0;
+        if (server.load.places >= m_engine.batch_slots) {
+            cost += no_place_cost;
+        }
+        const auto needed = server.load.context_tokens + m_request.prompt_tokens + m_request.max_output_tokens;
+        if (needed > m_engine.memory_tokens) {
+            cost += no_memory_cost;
+        }
+        if (interactive()) {
+            const int joined = std::min(server.load.short_sequences, m_engine.batch_slots - places_left_by_packing);
+            cost -= packing_gain * joined;
         }
-        return cost;
-    });
-    // The first server holds the prompt's memory, so it is the one with the
-    // least context among the chosen.
-    std::vector<const server_entry*> chosen(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(parts));
-    const auto first = std::min_element(chosen.begin(), chosen.end(), [&](const auto* left, const auto* right) {
-        return field.load.load_of(left->id, field.now).context_tokens <
-               field.load.load_of(right->id, field.now).context_tokens;
-    });
-    std::iter_swap(chosen.begin(), first);
-    placement result{.first = chosen.front(), .helpers = {chosen.begin() + 1, chosen.end()}, .part_ms = 0, .predicted = {}};
-    result.part_ms = alone_ms / static_cast<double>(parts);
-    double slowest = 0;
-    for (const server_entry* server : chosen) {
-        const auto load = field.load.load_of(server->id, field.now);
-        slowest = std::max(slowest, load.backlog_ms + pass_ms(engine, load) * 1.5);
+        // The context lengthens each later pass for all that write there.
+        return cost + 1e-6 * static_cast<double>(server.load.context_tokens);
+    }
+
+    std::pair<placement, double> spread_over(std::size_t count) {
+        const double part_ms = m_alone_ms / static_cast<double>(count);
+        std::vector<std::pair<double, std::size_t>> ranked;
+        for (std::size_t index = 0; index < m_servers.size(); ++index) {
+            const auto& server = m_servers[index];
+            const double done_ms = part_done_ms(server, part_ms);
+            double cost = harm_ms_cost(server, part_ms) + m_ties[index];
+            cost += m_weight * lateness(done_ms, to_ms(m_request.matched->latency_target));
+            if (count == 1) {
+                cost += cost_of_first(server);
+            }
+            ranked.emplace_back(cost, index);
+        }
+        std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count), ranked.end());
+        ranked.resize(count);
+        const auto first = std::min_element(ranked.begin(), ranked.end(), [&](const auto& left, const auto& right) {
+            return cost_of_first(m_servers[left.second]) < cost_of_first(m_servers[right.second]);
+        });
+        std::iter_swap(ranked.begin(), first);
+        return judge(ranked, part_ms);
     }
-    result.predicted = from_ms(slowest + result.part_ms);
-    return result;
-}
+
+    std::pair<placement, double> judge(const std::vector<std::pair<double, std::size_t>>& ranked, double part_ms) {
+        placement chosen = alone_on(m_servers[ranked.front().second].server);
+        chosen.part_ms = part_ms;
+        double slowest = 0;
+        double cost = cost_of_first(m_servers[ranked.front().second]) * (ranked.size() > 1 ? m_weight : 1);
+        for (std::size_t place = 0; place < ranked.size(); ++place) {
+            const auto& server = m_servers[ranked[place].second];
+            slowest = std::max(slowest, part_done_ms(server, part_ms));
+            cost += harm_ms_cost(server, part_ms) + server_cost + m_ties[ranked[place].second];
+            if (place > 0) {
+                chosen.helpers.push_back(server.server);
+            }
+        }
+        chosen.predicted = from_ms(slowest);
+        cost += m_weight * lateness(slowest, to_ms(m_request.matched->latency_target));
+        return {chosen, cost};
+    }
+
+    // Callers of the server that become late by a part that is read there.
+    [[nodiscard]] double harm_ms_cost(const weighed_server& server, double part_ms) const {
+        return harm_of_reading(server.load, server.base_pass_ms, part_ms);
+    }
+
+    const placement_request& m_request;
+    const engine_figures& m_engine;
+    double m_alone_ms;
+    double m_weight = 1;
+    std::vector<weighed_server> m_servers;
+    std::vector<double> m_ties;
+};
 
 }  // namespace
 
 placement random_policy::choose(const placement_field& field) const {
-    return {.first = field.servers[draw(field.random, field.servers.size())], .helpers = {}, .part_ms = 0, .predicted = {}};
+    return alone_on(field.servers[draw(field.random, field.servers.size())]);
 }
 
 placement least_outstanding_policy::choose(const placement_field& field) const {
     return place_plain(field);
 }
 
-placement separating_policy::choose(const placement_field& field) const {
+placement lateness_policy::choose(const placement_field& field) const {
     if (!field.request.wanted->engine) {
         return place_plain(field);
     }
-    const auto& engine = *field.request.wanted->engine;
-    const double alone_ms = reading_ms(engine, field.request.prompt_tokens);
-    const bool interactive = field.request.matched->pause_target <= short_pause;
-    if (interactive && alone_ms <= longest_part_ms) {
-        return place_short(field, engine, alone_ms);
-    }
-    return place_spread(field, engine, alone_ms);
+    return spread_search(field, *field.request.wanted->engine).best();
 }
 
 placement_result placer::place(const placement_request& request, const server_registry& servers,
--- a/src/routing/placer.hpp
+++ b/src/routing/placer.hpp
@@ -66,22 +66,17 @@
     placement choose(const placement_field& field) const;
 };
 
-// Answers a load in which prompts of 1k to 700k tokens share all servers:
-// streams with short pauses are packed on few servers, prompts that would read
-// longer than a pass may last are spread over the servers with the fewest such
-// streams.
-struct separating_policy {
+// Answers a load in which prompts of 1k to 700k tokens share all servers, with
+// bursts of one length after the other: takes the placement that makes the
+// fewest callers late, those of this request and those beside it.
+struct lateness_policy {
     placement choose(const placement_field& field) const;
 };
 
-using placement_policy = std::variant<separating_policy, least_outstanding_policy, random_policy>;
+using placement_policy = std::variant<lateness_policy, least_outstanding_policy, random_policy>;
 
 // Helpers that a server accepts for one prompt.
 inline constexpr std::size_t most_helpers = 16;
-// Milliseconds of reading that one server does for one prompt before the
-// prompt is spread over more servers. Half of the shortest pause target that
-// is in use leaves the other half to the pass itself.
-inline constexpr double longest_part_ms = 120;
 // Places of a server that packing of short streams leaves free, so that its
 // passes stay short and a newcomer doesn't queue.
 inline constexpr int places_left_by_packing = 4;
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -20,8 +20,15 @@
 // milliseconds, before a repeatable request is given to another server.
 constexpr double silence_targets = 2;
 constexpr duration least_silence = std::chrono::milliseconds(500);
-// Silence in the middle of a stream, in pause targets.
-constexpr double silence_pauses = 3;
+// Silence in the middle of a stream before another server continues it, in
+// pause targets and at least: callers leave after two seconds.
+constexpr double silence_pauses = 5;
+constexpr duration least_stream_silence = std::chrono::milliseconds(1'200);
+// A model engine that writes gives events of some stream more often than this.
+constexpr duration silent_server = std::chrono::milliseconds(1'000);
+// Requests that were sent this much later overtake only one that is stuck.
+constexpr duration overtaking_margin = std::chrono::milliseconds(400);
+constexpr duration silence_check_period = std::chrono::milliseconds(100);
 // Retry-After when servers rejected a request or could not be reached.
 constexpr duration retry_after_rejection = std::chrono::milliseconds(400);
 // Retry-After before the first desired state is known.
@@ -300,6 +307,7 @@
     if (events.empty()) {
         return;
     }
+    m_state.load.note_activity(m_attempt->server, m_state.timers.now());
     if (!m_attempt->reading_reported) {
         m_attempt->reading_reported = true;
         announce_work(work_event::read);
@@ -310,7 +318,7 @@
             .add("server", m_attempt->server.value)
             .add("took_ms", took)
             .add("predicted_ms", m_attempt->placed.predicted)
-            .debug();
+            .info();
     }
     if (m_sink != nullptr && !bytes.empty()) {
         if (!m_history.answer_begun) {
@@ -322,7 +330,7 @@
             m_attempt->connection->pause_reading(true);
         }
     }
-    watch_silence(std::max(least_silence, scaled(m_route->pause_target, silence_pauses)));
+    watch_silence(std::max(least_stream_silence, scaled(m_route->pause_target, silence_pauses)));
 }
 
 void exchange::caller_caught_up() {
@@ -400,6 +408,18 @@
     if (!spare_attempt || !allowed) {
         return;
     }
+    const auto now = m_state.timers.now();
+    // A server whose other requests go on is busy, not silent, unless they
+    // overtake this one.
+    if (m_service->engine && !m_history.answer_begun) {
+        const bool active = now - m_state.load.last_activity(m_attempt->server) < silent_server;
+        const bool overtaken = m_attempt->placed.helpers.empty() &&
+                               m_state.load.newest_read(m_attempt->server) > m_attempt->sent_at + overtaking_margin;
+        if (active && !overtaken) {
+            watch_silence(silence_check_period);
+            return;
+        }
+    }
     conclude(attempt_lost{}, "the server is silent");
 }
 
--- a/src/serving/gateway_state.hpp
+++ b/src/serving/gateway_state.hpp
@@ -49,7 +49,7 @@
           timers(io),
           pool(io, timers),
           calls(pool, timers),
-          placing(separating_policy{}, seed),
+          placing(lateness_policy{}, seed),
           pacer(chosen.cold),
           repeats(chosen.repeats),
           random(seed),
