Count the harm of more reading to prompts that are read at the same server

Cause: long prompts came up to 2.4 s later than predicted: a server without writers ends a pass only when all that it was given meanwhile has been read, so a later part delays an earlier one.

--- a/src/routing/engine_load.cpp
+++ b/src/routing/engine_load.cpp
@@ -63,21 +63,21 @@
     }
     count_sequence(server.load, item, 1);
     if (request.reading) {
-        ++server.reading_items;
+        server.readers[id] = {now, item.latency_target, item.weight};
         const auto takes = std::chrono::microseconds(static_cast<std::int64_t>(item.read_ms * 1'000));
         server.reading_ends = std::max(server.reading_ends, now) + takes;
     }
 }
 
-void engine_load::stop_reading(tracked_request& request, time_point now) {
+void engine_load::stop_reading(work_id id, tracked_request& request, time_point now) {
     if (!request.reading) {
         return;
     }
     request.reading = false;
     for (const auto& item : request.items) {
         auto& server = m_servers[item.server];
-        if (--server.reading_items <= 0) {
-            server.reading_items = 0;
+        server.readers.erase(id);
+        if (server.readers.empty()) {
             server.reading_ends = now;
         }
     }
@@ -103,7 +103,7 @@
     if (found == m_requests.end()) {
         return;
     }
-    stop_reading(found->second, now);
+    stop_reading(id, found->second, now);
     const auto& items = found->second.items;
     // A prompt that is spread waits for its slowest part and says nothing
     // about the others.
@@ -119,7 +119,7 @@
     if (found == m_requests.end()) {
         return;
     }
-    stop_reading(found->second, now);
+    stop_reading(id, found->second, now);
     detach(found->second);
     m_requests.erase(found);
 }
@@ -147,7 +147,7 @@
     }
     std::erase_if(m_servers, [&](const auto& entry) {
         const auto& server = entry.second;
-        return server.load.places <= 0 && server.reading_items == 0 && now - server.last_activity > activity_memory;
+        return server.load.places <= 0 && server.readers.empty() && now - server.last_activity > activity_memory;
     });
 }
 
@@ -159,6 +159,9 @@
     server_load load = found->second.load;
     const auto left = found->second.reading_ends - now;
     load.backlog_ms = std::max(0.0, std::chrono::duration<double, std::milli>(left).count());
+    for (const auto& [id, reader] : found->second.readers) {
+        load.readers.push_back(reader);
+    }
     return load;
 }
 
--- a/src/routing/engine_load.hpp
+++ b/src/routing/engine_load.hpp
@@ -7,7 +7,7 @@
 
 #include <compare>
 #include <map>
-#include <unordered_map>
+#include <vector>
 
 namespace verbenahold::serving {
 
@@ -28,6 +28,18 @@
     bool writes = true;
     // Longest pause that the caller accepts; bounds how long passes may get.
     duration pause_target{};
+    // When the caller expects the first event, counted from the sending.
+    duration latency_target{};
+    // How many callers with an ordinary prompt the request stands for.
+    double weight = 1;
+};
+
+// A request that is read at a server. All that is read in one pass is done at
+// the end of the pass, so more reading delays it.
+struct pending_reader {
+    time_point sent{};
+    duration latency_target{};
+    double weight = 1;
 };
 
 // Load of one server at one moment.
@@ -41,6 +53,7 @@
     std::int64_t context_tokens = 0;
     // Time until all reading that was given to the server is done.
     double backlog_ms = 0;
+    std::vector<pending_reader> readers;
 };
 
 // Pauses up to this mark interactive streams, which are packed together. It
@@ -87,14 +100,14 @@
     };
     struct tracked_server {
         server_load load;
-        int reading_items = 0;
+        std::map<work_id, pending_reader> readers;
         time_point reading_ends{};
         time_point last_activity{};
         time_point newest_read{};
     };
 
     void detach(const tracked_request& request);
-    void stop_reading(tracked_request& request, time_point now);
+    void stop_reading(work_id id, tracked_request& request, time_point now);
 
     std::map<work_id, tracked_request> m_requests;
     std::map<server_name, tracked_server> m_servers;
--- a/src/routing/lateness.cpp
+++ b/src/routing/lateness.cpp
@@ -7,12 +7,12 @@
 namespace {
 
 // Parts of a target at which the first caller may be late and at which all are.
-constexpr double first_late = 0.6;
+constexpr double first_late = 0.5;
 constexpr double all_late = 1.1;
 // What each further target of delay costs a caller who is late already.
 constexpr double cost_of_later = 0.25;
 // What delay costs within the target, to prefer the earlier of two placements.
-constexpr double cost_of_early = 0.02;
+constexpr double cost_of_early = 0.1;
 
 // Pass lengths in milliseconds between which streams become late: from well
 // under to just under the pause targets of interactive and of other streams.
@@ -25,6 +25,10 @@
 // Weight of a stream with a long prompt, in interactive ones.
 constexpr double long_stream_weight = 3;
 
+double to_ms(duration value) {
+    return std::chrono::duration<double, std::milli>(value).count();
+}
+
 double ramp(double value, double begin, double end) {
     return std::clamp((value - begin) / (end - begin), 0.0, 1.0);
 }
@@ -40,7 +44,7 @@
            cost_of_later * std::max(0.0, targets - 1);
 }
 
-double harm_of_reading(const server_load& load, double base_pass_ms, double part_ms) {
+double harm_of_reading(const server_load& load, double base_pass_ms, double part_ms, time_point now) {
     const double before = base_pass_ms + load.backlog_ms;
     const double after = before + part_ms;
     const double shorts = ramp(after, short_pause_begins_ms, short_pause_ends_ms) -
@@ -48,7 +52,13 @@
     const double longs = ramp(after, long_pause_begins_ms, long_pause_ends_ms) -
                          ramp(before, long_pause_begins_ms, long_pause_ends_ms);
     const int streams = load.short_sequences + load.long_sequences;
-    return load.short_sequences * shorts + long_stream_weight * load.long_sequences * longs +
+    double delayed = 0;
+    for (const auto& reader : load.readers) {
+        const double waited = to_ms(now - reader.sent);
+        const double target = to_ms(reader.latency_target);
+        delayed += reader.weight * (lateness(waited + after, target) - lateness(waited + before, target));
+    }
+    return delayed + load.short_sequences * shorts + long_stream_weight * load.long_sequences * longs +
            cost_per_stream_ms * part_ms * streams;
 }
 
--- a/src/routing/lateness.hpp
+++ b/src/routing/lateness.hpp
@@ -12,8 +12,9 @@
 double lateness(double predicted_ms, double target_ms);
 
 // Callers that become late because a server reads `part_ms` more in its next
-// passes; `base_pass_ms` is the length of a pass without reading.
-double harm_of_reading(const server_load& load, double base_pass_ms, double part_ms);
+// passes: those whose streams pause and those whose prompts are read there.
+// `base_pass_ms` is the length of a pass without reading.
+double harm_of_reading(const server_load& load, double base_pass_ms, double part_ms, time_point now);
 
 // How many callers with an ordinary prompt one request stands for: its prompt
 // against the mean. A long prompt that fails wastes as much work.
--- a/src/routing/placer.cpp
+++ b/src/routing/placer.cpp
@@ -65,7 +65,10 @@
 class spread_search {
 public:
     spread_search(const placement_field& field, const engine_figures& engine)
-        : m_request(field.request), m_engine(engine), m_alone_ms(reading_ms(engine, field.request.prompt_tokens)) {
+        : m_request(field.request),
+          m_engine(engine),
+          m_now(field.now),
+          m_alone_ms(reading_ms(engine, field.request.prompt_tokens)) {
         std::uniform_real_distribution<double> tie(0, tie_cost);
         for (const server_entry* server : field.servers) {
             const auto load = field.load.load_of(server->id, field.now);
@@ -143,7 +146,7 @@
         for (std::size_t index = 0; index < m_servers.size(); ++index) {
             const auto& server = m_servers[index];
             const double done_ms = part_done_ms(server, part_ms);
-            double cost = harm_ms_cost(server, part_ms) + m_ties[index];
+            double cost = harm(server, part_ms) + m_ties[index];
             cost += m_weight * lateness(done_ms, to_ms(m_request.matched->latency_target));
             if (count == 1) {
                 cost += cost_of_first(server);
@@ -167,7 +170,7 @@
         for (std::size_t place = 0; place < ranked.size(); ++place) {
             const auto& server = m_servers[ranked[place].second];
             slowest = std::max(slowest, part_done_ms(server, part_ms));
-            cost += harm_ms_cost(server, part_ms) + server_cost + m_ties[ranked[place].second];
+            cost += harm(server, part_ms) + server_cost + m_ties[ranked[place].second];
             if (place > 0) {
                 chosen.helpers.push_back(server.server);
             }
@@ -178,12 +181,13 @@
     }
 
     // Callers of the server that become late by a part that is read there.
-    [[nodiscard]] double harm_ms_cost(const weighed_server& server, double part_ms) const {
-        return harm_of_reading(server.load, server.base_pass_ms, part_ms);
+    [[nodiscard]] double harm(const weighed_server& server, double part_ms) const {
+        return harm_of_reading(server.load, server.base_pass_ms, part_ms, m_now);
     }
 
     const placement_request& m_request;
     const engine_figures& m_engine;
+    time_point m_now;
     double m_alone_ms;
     double m_weight = 1;
     std::vector<weighed_server> m_servers;
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -1,5 +1,6 @@
 #include "exchange.hpp"
 
+#include "lateness.hpp"
 #include "log_line.hpp"
 
 #include <algorithm>
@@ -48,6 +49,14 @@
     return duration(static_cast<duration::rep>(static_cast<double>(value.count()) * factor));
 }
 
+std::string names_of(std::span<const server_entry* const> servers) {
+    std::string names;
+    for (const server_entry* server : servers) {
+        names.append(names.empty() ? "" : ",").append(server->id.value);
+    }
+    return names;
+}
+
 }  // namespace
 
 exchange::exchange(gateway_state& state, answer_sink& sink, caller_request request, time_point received_at)
@@ -189,7 +198,8 @@
         .add("request", m_request.attempt_id)
         .add("server", m_attempt->server.value)
         .add("attempt", m_tried.size())
-        .add("helpers", chosen.helpers.size())
+        .add("helpers", names_of(chosen.helpers))
+        .add("tokens", m_request.prompt_tokens)
         .add("part_ms", chosen.part_ms)
         .add("predicted_ms", chosen.predicted)
         .add("left_ms", time_left())
@@ -219,9 +229,11 @@
     if (event == work_event::started) {
         const auto& placed = m_attempt->placed;
         const auto context = m_request.prompt_tokens + m_request.max_output_tokens / 2;
-        update.items.push_back({m_attempt->server, placed.part_ms, context, true, m_route->pause_target});
+        const double weight = m_service->engine ? request_weight(*m_service->engine, m_request.prompt_tokens) : 1;
+        update.items.push_back({m_attempt->server, placed.part_ms, context, true, m_route->pause_target,
+                                m_route->latency_target, weight});
         for (const server_entry* helper : placed.helpers) {
-            update.items.push_back({helper->id, placed.part_ms, 0, false, {}});
+            update.items.push_back({helper->id, placed.part_ms, 0, false, {}, m_route->latency_target, weight});
         }
         for (const auto& item : update.items) {
             m_state.load.add(update.id, item, now, now + update.lifetime);
--- a/src/serving/peer_link.cpp
+++ b/src/serving/peer_link.cpp
@@ -18,6 +18,18 @@
     return static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
 }
 
+work_item item_of(const wire::WorkItem& message) {
+    work_item item;
+    item.server = server_name(message.server());
+    item.read_ms = message.read_ms();
+    item.context_tokens = static_cast<std::int64_t>(message.context_tokens());
+    item.writes = message.writes();
+    item.pause_target = std::chrono::milliseconds(message.pause_ms());
+    item.latency_target = std::chrono::milliseconds(message.target_ms());
+    item.weight = message.weight();
+    return item;
+}
+
 }  // namespace
 
 peer_link::peer_link(gateway_state& state, std::function<daemon_status()> own_status)
@@ -113,11 +125,7 @@
     switch (static_cast<work_event>(update.event())) {
         case work_event::started:
             for (const auto& item : update.items()) {
-                const auto context = static_cast<std::int64_t>(item.context_tokens());
-                m_state.load.add(id,
-                                 {server_name(item.server()), item.read_ms(), context, item.writes(),
-                                  std::chrono::milliseconds(item.pause_ms())},
-                                 now, now + std::chrono::milliseconds(update.lifetime_ms()));
+                m_state.load.add(id, item_of(item), now, now + std::chrono::milliseconds(update.lifetime_ms()));
             }
             break;
         case work_event::read:
@@ -155,6 +163,8 @@
         part.set_context_tokens(static_cast<std::uint64_t>(item.context_tokens));
         part.set_writes(item.writes);
         part.set_pause_ms(milliseconds_of(item.pause_target));
+        part.set_target_ms(milliseconds_of(item.latency_target));
+        part.set_weight(static_cast<float>(item.weight));
     }
     schedule();
 }
