--- a/src/routing/engine_load.cpp
+++ b/src/routing/engine_load.cpp
@@ -57,10 +57,8 @@
     request.added = now;
     request.items.push_back(item);
     auto& server = m_servers[item.server];
-    if (item.writes) {
-        ++server.load.places;
-        server.load.context_tokens += item.context_tokens;
-    }
+    server.load.places += item.writes ? 1 : 0;
+    server.load.context_tokens += item.context_tokens;
     count_sequence(server.load, item, 1);
     if (request.reading) {
         server.readers[id] = {now, item.latency_target, item.weight};
@@ -90,10 +88,8 @@
             continue;
         }
         auto& load = found->second.load;
-        if (item.writes) {
-            --load.places;
-            load.context_tokens -= item.context_tokens;
-        }
+        load.places -= item.writes ? 1 : 0;
+        load.context_tokens -= item.context_tokens;
         count_sequence(load, item, -1);
     }
 }
--- a/src/routing/engine_load.hpp
+++ b/src/routing/engine_load.hpp
@@ -23,7 +23,7 @@
     server_name server;
     // Time that the server reads for it, in milliseconds; 0 for plain calls.
     double read_ms = 0;
-    // Tokens of context while it writes; 0 for a server that only helps read.
+    // Tokens of context that it holds there; 0 for a server that only helps read.
     std::int64_t context_tokens = 0;
     bool writes = true;
     // Longest pause that the caller accepts; bounds how long passes may get.
--- a/src/routing/placer.cpp
+++ b/src/routing/placer.cpp
@@ -106,9 +106,12 @@
     static constexpr double shortest_part_ms = 40;
     // A request more than the server has places for waits for another to end.
     static constexpr double no_place_cost = 1;
-    // Memory that is not free when the prompt has been read stops the request
-    // or another one.
+    // Without memory for its prompt the request is rejected or waits for the
+    // end of others.
     static constexpr double no_memory_cost = 2;
+    // What each reservation costs, in callers that are late: two orders and
+    // their way.
+    static constexpr double reservation_cost = 0.05;
     // What an interactive stream gains by joining others: servers without any
     // remain for long reading.
     static constexpr double packing_gain = 0.03;
@@ -128,10 +131,6 @@
         if (server.load.places >= m_engine.batch_slots) {
             cost += no_place_cost;
         }
-        const auto needed = server.load.context_tokens + m_request.prompt_tokens + m_request.max_output_tokens;
-        if (needed > m_engine.memory_tokens) {
-            cost += no_memory_cost;
-        }
         if (interactive()) {
             const int joined = std::min(server.load.short_sequences, m_engine.batch_slots - places_left_by_packing);
             cost -= packing_gain * joined;
@@ -172,14 +171,51 @@
             slowest = std::max(slowest, part_done_ms(server, part_ms));
             cost += harm(server, part_ms) + server_cost + m_ties[ranked[place].second];
             if (place > 0) {
-                chosen.helpers.push_back(server.server);
+                chosen.helpers.push_back({server.server, 0});
             }
         }
+        cost += plan_memory(ranked, chosen);
         chosen.predicted = from_ms(slowest);
         cost += m_weight * lateness(slowest, to_ms(m_request.matched->latency_target));
         return {chosen, cost};
     }
 
+    [[nodiscard]] std::int64_t free_memory(const weighed_server& server) const {
+        const double planned = planned_part_of_memory * static_cast<double>(m_engine.memory_tokens);
+        return std::max<std::int64_t>(0, static_cast<std::int64_t>(planned) - server.load.context_tokens);
+    }
+
+    // Divides the prompt's memory: what the first server can't hold is reserved
+    // at the helpers with most free memory. Returns what the plan costs.
+    double plan_memory(const std::vector<std::pair<double, std::size_t>>& ranked, placement& chosen) const {
+        const auto needed = m_request.prompt_tokens + m_request.max_output_tokens;
+        auto missing = needed - free_memory(m_servers[ranked.front().second]);
+        if (missing <= 0) {
+            return 0;
+        }
+        std::vector<std::pair<std::int64_t, std::size_t>> holders;
+        for (std::size_t place = 1; place < ranked.size(); ++place) {
+            holders.emplace_back(free_memory(m_servers[ranked[place].second]), place - 1);
+        }
+        std::sort(holders.rbegin(), holders.rend());
+        double cost = 0;
+        for (const auto& [available, helper] : holders) {
+            if (missing <= 0) {
+                break;
+            }
+            chosen.helpers[helper].reserved_tokens = std::min(available, missing);
+            missing -= available;
+            cost += reservation_cost;
+        }
+        if (missing <= 0) {
+            return cost;
+        }
+        for (auto& helper : chosen.helpers) {
+            helper.reserved_tokens = 0;
+        }
+        return no_memory_cost * m_weight;
+    }
+
     // Callers of the server that become late by a part that is read there.
     [[nodiscard]] double harm(const weighed_server& server, double part_ms) const {
         return harm_of_reading(server.load, server.base_pass_ms, part_ms, m_now);
--- a/src/routing/placer.hpp
+++ b/src/routing/placer.hpp
@@ -29,10 +29,16 @@
     std::span<const server_name> excluded;
 };
 
+// A server that reads a part of a prompt for another one.
+struct reading_helper {
+    const server_entry* server = nullptr;
+    // Tokens of the prompt whose memory is to be reserved there; 0 for none.
+    std::int64_t reserved_tokens = 0;
+};
+
 struct placement {
     const server_entry* first = nullptr;
-    // Servers that read a part of the prompt each.
-    std::vector<const server_entry*> helpers;
+    std::vector<reading_helper> helpers;
     // Milliseconds that each of them reads.
     double part_ms = 0;
     // Predicted time to the answer or its first event.
@@ -77,6 +83,9 @@
 
 // Helpers that a server accepts for one prompt.
 inline constexpr std::size_t most_helpers = 16;
+// Part of a server's memory that is planned with: it is given out in blocks and
+// its use is known late.
+inline constexpr double planned_part_of_memory = 0.97;
 // Places of a server that packing of short streams leaves free, so that its
 // passes stay short and a newcomer doesn't queue.
 inline constexpr int places_left_by_packing = 4;
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -34,6 +34,12 @@
 constexpr duration retry_after_rejection = std::chrono::milliseconds(400);
 // Retry-After before the first desired state is known.
 constexpr duration retry_after_start = std::chrono::milliseconds(500);
+// Retry-After when the servers' memory is taken: about the time that a long
+// prompt's answer takes.
+constexpr duration retry_without_memory = std::chrono::milliseconds(1'500);
+// Attempts of one request are numbered in the low bits of their work's number.
+constexpr unsigned attempt_bits = 8;
+constexpr std::uint64_t attempt_mask = (1U << attempt_bits) - 1;
 // A request that crashed its servers is not worth repeating soon.
 constexpr duration retry_after_crashes = std::chrono::seconds(60);
 // Largest answer that is kept whole before it is passed on.
@@ -49,10 +55,10 @@
     return duration(static_cast<duration::rep>(static_cast<double>(value.count()) * factor));
 }
 
-std::string names_of(std::span<const server_entry* const> servers) {
+std::string names_of(std::span<const reading_helper> helpers) {
     std::string names;
-    for (const server_entry* server : servers) {
-        names.append(names.empty() ? "" : ",").append(server->id.value);
+    for (const auto& helper : helpers) {
+        names.append(names.empty() ? "" : ",").append(helper.server->id.value);
     }
     return names;
 }
@@ -137,7 +143,7 @@
         wait_for_place(*none);
         return;
     }
-    send(std::get<placement>(result));
+    begin_attempt(std::get<placement>(result));
 }
 
 void exchange::wait_for_place(const no_placement& reason) {
@@ -164,19 +170,55 @@
     });
 }
 
-void exchange::send(const placement& chosen) {
-    const auto now = m_state.timers.now();
+void exchange::begin_attempt(const placement& chosen) {
     m_waiting_since.reset();
     m_attempt.emplace();
     m_attempt->placed = chosen;
     m_attempt->server = chosen.first->id;
-    m_attempt->sent_at = now;
-    m_attempt->work = {m_state.boot, (m_number << 4U) | static_cast<std::uint64_t>(m_tried.size() & 15U)};
-    m_tried.push_back(chosen.first->id);
-    m_state.pacer.on_sent(chosen.first->id, now);
+    m_attempt->sent_at = m_state.timers.now();
+    // Each attempt is work of its own; the low bits count them.
+    m_attempt->work = {m_state.boot, (m_number << attempt_bits) | (m_attempts_begun++ & attempt_mask)};
+    announce_work(work_event::started);
+    const auto reserves = [](const reading_helper& helper) { return helper.reserved_tokens > 0; };
+    if (std::any_of(chosen.helpers.begin(), chosen.helpers.end(), reserves)) {
+        reserve_memory();
+    } else {
+        forward();
+    }
+}
+
+void exchange::reserve_memory() {
+    std::vector<memory_reservation::part> parts;
+    for (const auto& helper : m_attempt->placed.helpers) {
+        if (helper.reserved_tokens > 0) {
+            parts.push_back({helper.server->address, helper.reserved_tokens, {}});
+        }
+    }
+    log_line("reserving memory")
+        .add("request", m_request.attempt_id)
+        .add("servers", parts.size())
+        .add("tokens", m_request.prompt_tokens)
+        .info();
+    const auto name = std::to_string(m_state.boot) + '-' + std::to_string(m_attempt->work.number);
+    m_attempt->memory = std::make_shared<memory_reservation>(m_state, name, std::move(parts));
+    const auto weak = weak_from_this();
+    m_attempt->memory->acquire([weak, number = m_attempt->work.number](bool reserved) {
+        const auto self = weak.lock();
+        if (!self || !self->m_attempt || self->m_attempt->work.number != number) {
+            return;
+        }
+        if (reserved) {
+            self->forward();
+            return;
+        }
+        self->end_attempt();
+        self->wait_for_place({"no server has memory for the prompt", retry_without_memory});
+    });
+}
 
+forwarding exchange::fields_to_add() const {
     forwarding added;
-    added.server = chosen.first->id;
+    added.server = m_attempt->server;
     added.time_left = std::max(time_left(), duration(std::chrono::milliseconds(1)));
     if (m_account != nullptr) {
         added.account = m_account->name;
@@ -186,14 +228,23 @@
         added.priority = std::clamp(rank, 0, least_urgent);
     }
     added.last_event_id = m_last_event;
-    for (const server_entry* helper : chosen.helpers) {
-        added.helpers.push_back({helper->address, {}});
+    for (const auto& helper : m_attempt->placed.helpers) {
+        added.helpers.push_back({helper.server->address, {}});
+        if (helper.reserved_tokens > 0) {
+            added.helpers.back().reservation = m_attempt->memory->name_at(helper.server->address);
+        }
     }
-    const auto request = m_state.wire.server_request(m_request, added);
+    return added;
+}
 
+void exchange::forward() {
+    const auto& chosen = m_attempt->placed;
+    const auto request = m_state.wire.server_request(m_request, fields_to_add());
     const bool once = m_route->repeat == repeat_rule::at_most_once;
-    m_attempt->connection =
-        m_state.pool.take(chosen.first->address, once ? idle_time_for_single_runs : default_idle_time);
+    m_tried.push_back(m_attempt->server);
+    m_attempt->sent_at = m_state.timers.now();
+    m_state.pacer.on_sent(m_attempt->server, m_attempt->sent_at);
+    m_attempt->connection = m_state.pool.take(chosen.first->address, once ? idle_time_for_single_runs : default_idle_time);
     log_line("forwarded")
         .add("request", m_request.attempt_id)
         .add("server", m_attempt->server.value)
@@ -204,7 +255,6 @@
         .add("predicted_ms", chosen.predicted)
         .add("left_ms", time_left())
         .info();
-    announce_work(work_event::started);
     ++m_history.sent;
     ++m_history.may_have_run;
     answer_callbacks callbacks;
@@ -228,13 +278,17 @@
     update.lifetime = time_left() + std::chrono::seconds(1);
     if (event == work_event::started) {
         const auto& placed = m_attempt->placed;
-        const auto context = m_request.prompt_tokens + m_request.max_output_tokens / 2;
+        const auto context = m_request.prompt_tokens + m_request.max_output_tokens;
+        std::int64_t reserved = 0;
         const double weight = m_service->engine ? request_weight(*m_service->engine, m_request.prompt_tokens) : 1;
         update.items.push_back({m_attempt->server, placed.part_ms, context, true, m_route->pause_target,
                                 m_route->latency_target, weight});
-        for (const server_entry* helper : placed.helpers) {
-            update.items.push_back({helper->id, placed.part_ms, 0, false, {}, m_route->latency_target, weight});
+        for (const auto& helper : placed.helpers) {
+            reserved += helper.reserved_tokens;
+            update.items.push_back({helper.server->id, placed.part_ms, helper.reserved_tokens, false, {},
+                                    m_route->latency_target, weight});
         }
+        update.items.front().context_tokens -= std::min(reserved, context);
         for (const auto& item : update.items) {
             m_state.load.add(update.id, item, now, now + update.lifetime);
         }
@@ -259,6 +313,10 @@
         return;
     }
     announce_work(work_event::ended);
+    if (!m_attempt->connection) {
+        m_attempt.reset();
+        return;
+    }
     if (m_attempt->connection->is_reusable()) {
         m_state.pool.put_back(m_attempt->connection);
     } else {
@@ -346,7 +404,7 @@
 }
 
 void exchange::caller_caught_up() {
-    if (m_attempt) {
+    if (m_attempt && m_attempt->connection) {
         m_attempt->connection->pause_reading(false);
     }
 }
--- a/src/serving/exchange.hpp
+++ b/src/serving/exchange.hpp
@@ -5,6 +5,7 @@
 #include "attempt_policy.hpp"
 #include "event_splitter.hpp"
 #include "gateway_state.hpp"
+#include "memory_reservation.hpp"
 
 #include <memory>
 #include <optional>
@@ -53,7 +54,10 @@
 
 private:
     struct attempt {
+        // Null until the request is forwarded.
         std::shared_ptr<server_connection> connection;
+        // Set if memory is reserved for the prompt.
+        std::shared_ptr<memory_reservation> memory;
         placement placed;
         server_name server;
         work_id work;
@@ -69,7 +73,10 @@
     bool admit();
     void place();
     void wait_for_place(const no_placement& reason);
-    void send(const placement& chosen);
+    void begin_attempt(const placement& chosen);
+    void reserve_memory();
+    void forward();
+    [[nodiscard]] forwarding fields_to_add() const;
     void announce_work(work_event event);
     void end_attempt();
 
@@ -103,6 +110,7 @@
     std::uint64_t m_number = 0;
     bool m_ended = false;
     attempt_history m_history;
+    std::uint64_t m_attempts_begun = 0;
     std::vector<server_name> m_tried;
     std::optional<attempt> m_attempt;
     std::optional<std::int64_t> m_last_event;
--- /dev/null
+++ b/src/serving/memory_reservation.cpp
@@ -0,0 +1,77 @@
+#include "memory_reservation.hpp"
+
+#include "log_line.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace verbenahold::serving {
+
+memory_reservation::memory_reservation(gateway_state& state, const std::string& name, std::vector<part> parts)
+    : m_state(state), m_parts(std::move(parts)) {
+    for (std::size_t index = 0; index < m_parts.size(); ++index) {
+        m_parts[index].name = name + '-' + std::to_string(index);
+    }
+}
+
+memory_reservation::~memory_reservation() {
+    m_state.timers.unsubscribe(m_renewal);
+    for (const auto& which : m_parts) {
+        m_state.calls.call(which.address, m_state.wire.release_memory(which.name), order_limit,
+                           [name = which.name](const call_result& result) {
+                               if (!result.answer) {
+                                   // The hold ends by itself.
+                                   log_line("memory not released").add("reservation", name).add("reason", result.failure).warn();
+                               }
+                           });
+    }
+}
+
+void memory_reservation::order(const part& which, std::function<void(bool)> done) {
+    m_state.calls.call(which.address, m_state.wire.reserve_memory(which.name, which.tokens, memory_hold), order_limit,
+                       [name = which.name, done = std::move(done)](const call_result& result) {
+                           const bool reserved = result.answer && result.answer->head.status == 200;
+                           if (!reserved) {
+                               log_line("memory not reserved")
+                                   .add("reservation", name)
+                                   .add("status", result.answer ? result.answer->head.status : 0)
+                                   .add("reason", result.failure)
+                                   .info();
+                           }
+                           done(reserved);
+                       });
+}
+
+void memory_reservation::acquire(std::function<void(bool)> done) {
+    m_done = std::move(done);
+    m_unanswered = m_parts.size();
+    for (const auto& which : m_parts) {
+        order(which, [weak = weak_from_this()](bool reserved) {
+            const auto self = weak.lock();
+            if (!self) {
+                return;
+            }
+            self->m_failed = self->m_failed || !reserved;
+            if (--self->m_unanswered > 0) {
+                return;
+            }
+            if (!self->m_failed) {
+                self->m_renewal = self->m_state.timers.every(renewal_period, [raw = self.get()] { raw->renew(); });
+            }
+            std::exchange(self->m_done, nullptr)(!self->m_failed);
+        });
+    }
+}
+
+void memory_reservation::renew() {
+    for (const auto& which : m_parts) {
+        order(which, [](bool /*renewed*/) {});
+    }
+}
+
+std::string memory_reservation::name_at(const std::string& address) const {
+    const auto found = std::find_if(m_parts.begin(), m_parts.end(), [&](const part& p) { return p.address == address; });
+    return found == m_parts.end() ? std::string() : found->name;
+}
+
+}  // namespace verbenahold::serving
