Bound what a prompt may take of all servers' reading

Cause: prompts over 300k tokens take seconds of every server. Now the bound on the backlog shrinks with the prompt's share.

--- a/src/routing/placer.cpp
+++ b/src/routing/placer.cpp
@@ -55,6 +55,30 @@
     return alone_on(best);
 }
 
+// Set if the servers can't read the prompt soon without making many others
+// late.
+std::optional<no_placement> refuse_for_reading(const placement_request& request,
+                                               std::span<const server_entry* const> servers, const engine_load& load,
+                                               time_point now) {
+    if (!request.wanted->engine || is_interactive(request.matched->pause_target)) {
+        return std::nullopt;
+    }
+    double all_ms = 0;
+    for (const server_entry* server : servers) {
+        all_ms += load.load_of(server->id, now).backlog_ms;
+    }
+    const double count = static_cast<double>(servers.size());
+    const double target_ms = to_ms(request.matched->latency_target);
+    const double backlog_ms = all_ms / count;
+    const double share_ms = reading_ms(*request.wanted->engine, request.prompt_tokens) / count;
+    const double room = std::max(0.0, 1 - share_ms / (largest_share_of_target * target_ms));
+    const double bound_ms = std::max(idle_part_of_target, backlog_part_of_target * room) * target_ms;
+    if (backlog_ms <= bound_ms) {
+        return std::nullopt;
+    }
+    return no_placement{"reading the prompt now would make others late", from_ms(backlog_ms - bound_ms), true};
+}
+
 // One server with what is known of its load.
 struct weighed_server {
     const server_entry* server = nullptr;
@@ -254,6 +278,9 @@
     if (usable.empty()) {
         return no_placement{"no server of the service is in use", retry_without_servers};
     }
+    if (auto refused = refuse_for_reading(request, usable, load, now)) {
+        return *refused;
+    }
     std::vector<const server_entry*> candidates;
     for (const server_entry* server : usable) {
         const bool excluded =
--- a/src/routing/placer.hpp
+++ b/src/routing/placer.hpp
@@ -49,6 +49,8 @@
 struct no_placement {
     std::string_view reason;
     duration retry_after{};
+    // Waiting here would only take time from another try.
+    bool at_once = false;
 };
 
 using placement_result = std::variant<placement, no_placement>;
@@ -83,6 +85,13 @@
 
 // Helpers that a server accepts for one prompt.
 inline constexpr std::size_t most_helpers = 16;
+// Parts of the latency target that bound what all servers have to read, for
+// each server, when a prompt is taken: nearly idle servers take any prompt; a
+// small prompt is taken up to the full bound and one whose reading would take
+// the largest share of all servers only when they are nearly idle.
+inline constexpr double idle_part_of_target = 0.02;
+inline constexpr double backlog_part_of_target = 0.35;
+inline constexpr double largest_share_of_target = 0.15;
 // Part of a server's memory that is planned with: it is given out in blocks and
 // its use is known late.
 inline constexpr double planned_part_of_memory = 0.97;
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -153,7 +153,7 @@
     }
     const bool none_exists = m_state.servers.usable(m_service->name, now).empty();
     const auto longest = std::min(scaled(m_route->latency_target, waiting_part), time_left());
-    if (none_exists || now - *m_waiting_since >= longest) {
+    if (reason.at_once || none_exists || now - *m_waiting_since >= longest) {
         if (m_history.answer_begun) {
             cut_off(reason.reason);
         } else if (m_history.may_have_run > 0) {
