--- a/src/routing/engine_load.cpp
+++ b/src/routing/engine_load.cpp
@@ -22,11 +22,8 @@
 
 namespace {
 
-void count_sequence(server_load& load, const work_item& item, int change) {
-    if (!item.writes || item.pause_target.count() == 0) {
-        return;
-    }
-    (is_interactive(item.pause_target) ? load.short_sequences : load.long_sequences) += change;
+bool is_stream(const work_item& item) {
+    return item.writes && item.pause_target.count() > 0;
 }
 
 // How long the activity of a server without work is remembered.
@@ -59,7 +56,10 @@
     auto& server = m_servers[item.server];
     server.load.places += item.writes ? 1 : 0;
     server.load.context_tokens += item.context_tokens;
-    count_sequence(server.load, item, 1);
+    if (is_stream(item)) {
+        server.streams[id] = {item.pause_target, item.weight};
+        server.load.short_sequences += is_interactive(item.pause_target) ? 1 : 0;
+    }
     if (request.reading) {
         server.readers[id] = {now, item.latency_target, item.weight};
         const auto takes = std::chrono::microseconds(static_cast<std::int64_t>(item.read_ms * 1'000));
@@ -81,7 +81,7 @@
     }
 }
 
-void engine_load::detach(const tracked_request& request) {
+void engine_load::detach(work_id id, const tracked_request& request) {
     for (const auto& item : request.items) {
         const auto found = m_servers.find(item.server);
         if (found == m_servers.end()) {
@@ -90,7 +90,9 @@
         auto& load = found->second.load;
         load.places -= item.writes ? 1 : 0;
         load.context_tokens -= item.context_tokens;
-        count_sequence(load, item, -1);
+        if (is_stream(item) && found->second.streams.erase(id) > 0) {
+            load.short_sequences -= is_interactive(item.pause_target) ? 1 : 0;
+        }
     }
 }
 
@@ -116,7 +118,7 @@
         return;
     }
     stop_reading(id, found->second, now);
-    detach(found->second);
+    detach(id, found->second);
     m_requests.erase(found);
 }
 
@@ -158,6 +160,9 @@
     for (const auto& [id, reader] : found->second.readers) {
         load.readers.push_back(reader);
     }
+    for (const auto& [id, stream] : found->second.streams) {
+        load.streams.push_back(stream);
+    }
     return load;
 }
 
--- a/src/routing/engine_load.hpp
+++ b/src/routing/engine_load.hpp
@@ -42,18 +42,23 @@
     double weight = 1;
 };
 
+// A stream that is written at a server, or will be after its reading.
+struct open_stream {
+    duration pause_target{};
+    double weight = 1;
+};
+
 // Load of one server at one moment.
 struct server_load {
     // Requests that hold a place: they read or write there.
     int places = 0;
     // Writing or reading sequences with a pause target up to `short_pause`.
     int short_sequences = 0;
-    // The other sequences that answer event by event.
-    int long_sequences = 0;
     std::int64_t context_tokens = 0;
     // Time until all reading that was given to the server is done.
     double backlog_ms = 0;
     std::vector<pending_reader> readers;
+    std::vector<open_stream> streams;
 };
 
 // Pauses up to this mark interactive streams, which are packed together. It
@@ -101,12 +106,13 @@
     struct tracked_server {
         server_load load;
         std::map<work_id, pending_reader> readers;
+        std::map<work_id, open_stream> streams;
         time_point reading_ends{};
         time_point last_activity{};
         time_point newest_read{};
     };
 
-    void detach(const tracked_request& request);
+    void detach(work_id id, const tracked_request& request);
     void stop_reading(work_id id, tracked_request& request, time_point now);
 
     std::map<work_id, tracked_request> m_requests;
