Wait longer for engines that may be overloaded; tell all daemons of unreachable servers

Cause: after a restart of all hosts the engines are busy with streams of before, and 130 requests were given up as silent and sent again.

--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -25,8 +25,9 @@
 // pause targets and at least: callers leave after two seconds.
 constexpr double silence_pauses = 5;
 constexpr duration least_stream_silence = std::chrono::milliseconds(1'200);
-// A model engine that writes gives events of some stream more often than this.
-constexpr duration silent_server = std::chrono::milliseconds(1'000);
+// A model engine that writes gives events of some stream more often than this,
+// also when it is overloaded.
+constexpr duration silent_server = std::chrono::milliseconds(1'600);
 // Requests that were sent this much later overtake only one that is stuck.
 constexpr duration overtaking_margin = std::chrono::milliseconds(400);
 constexpr duration silence_check_period = std::chrono::milliseconds(100);
@@ -515,6 +516,10 @@
     if (speaks_against_server) {
         m_state.servers.report_failure(server, now);
     }
+    // Nobody else needs to find out that it can't be reached.
+    if (std::holds_alternative<attempt_not_sent>(outcome) && m_state.notices.on_server_trouble) {
+        m_state.notices.on_server_trouble(server);
+    }
     m_state.counters.add("attempts_failed");
     const auto decision = decide_next(*m_route, m_history, outcome);
     log_line("attempt failed")
