--- a/src/routing/daemon_view.cpp
+++ b/src/routing/daemon_view.cpp
@@ -1,5 +1,7 @@
 #include "daemon_view.hpp"
 
+#include <xxhash.h>
+
 namespace verbenahold::serving {
 
 namespace {
@@ -43,6 +45,18 @@
     return statuses;
 }
 
+bool daemon_view::is_store_reader(const std::string& own_name, time_point now) const {
+    // Ranks are hashed, so that readers are spread over zones.
+    const auto rank_of = [](const std::string& name) { return XXH64(name.data(), name.size(), 0); };
+    const auto own_rank = rank_of(own_name);
+    std::size_t before = 0;
+    for (const auto& [name, known] : m_alive) {
+        const bool counts = known.status.store_in_reach && now - known.last_heard < silence_of_readers;
+        before += counts && rank_of(name) < own_rank ? 1 : 0;
+    }
+    return before < store_readers;
+}
+
 int daemon_view::senders_lately(time_point now) {
     if (senders() >= m_peak || now - m_peak_at > peak_memory) {
         m_peak = senders();
--- a/src/routing/daemon_view.hpp
+++ b/src/routing/daemon_view.hpp
@@ -27,6 +27,8 @@
     // servers write.
     std::uint64_t operator_rows_version = 0;
     std::uint64_t server_rows_version = 0;
+    // Its calls to the store succeed.
+    bool store_in_reach = false;
 };
 
 inline constexpr duration heartbeat_period = std::chrono::milliseconds(300);
@@ -34,6 +36,13 @@
 // that a few lost datagrams in a row don't matter.
 inline constexpr duration silence_of_the_dead = std::chrono::milliseconds(1'600);
 
+// Daemons that read the store's changes; the others learn of them from these.
+// Each call is paid for, and four leave one when a zone and two hosts are lost.
+inline constexpr std::size_t store_readers = 4;
+// A reader that was silent for this long is replaced: three heartbeats, since
+// changes go unnoticed while all readers are dead.
+inline constexpr duration silence_of_readers = std::chrono::milliseconds(950);
+
 class daemon_view {
 public:
     // True if the daemon wasn't known as alive under this boot.
@@ -45,6 +54,9 @@
 
     // Daemons that are alive, without this one.
     [[nodiscard]] std::vector<daemon_status> alive() const;
+    // Whether the daemon of this name is one that reads the store, among those
+    // that reach it. Each daemon decides alone; a few more may read for a while.
+    [[nodiscard]] bool is_store_reader(const std::string& own_name, time_point now) const;
     // All daemons that may send requests, this one included.
     [[nodiscard]] int senders() const { return static_cast<int>(m_alive.size()) + 1; }
     // Largest number of senders seen lately: daemons that can't be heard may
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -4,7 +4,10 @@
 #include "log_line.hpp"
 #include "serving.pb.h"
 
+#include <QByteArray>
+
 #include <algorithm>
+#include <charconv>
 #include <csignal>
 
 namespace verbenahold::serving {
@@ -35,7 +38,38 @@
 constexpr duration stop_check_period = std::chrono::milliseconds(50);
 // Time limit of a call to another daemon.
 constexpr duration peer_call_limit = std::chrono::milliseconds(800);
-constexpr std::string_view snapshot_path = "/v1/rows";
+constexpr std::string_view changes_path = "/v1/changes";
+// Daemons ask for changes within this time after they hear of them.
+constexpr duration catch_up_spread = std::chrono::milliseconds(120);
+// How often a daemon checks whether it is to read the store.
+constexpr duration reader_check_period = std::chrono::milliseconds(100);
+// Compression of rows for other daemons, fast rather than small: a desired
+// state shrinks to a tenth at any level.
+constexpr int packing_level = 2;
+
+table_changes changes_of(const wire::StateChanges& message, store_table table) {
+    const bool operators = table == store_table::operator_rows;
+    table_changes changes;
+    changes.version = operators ? message.operator_rows_version() : message.server_rows_version();
+    changes.whole = operators ? message.operator_rows_whole() : message.server_rows_whole();
+    for (const auto& row : message.rows()) {
+        if (row.table() == static_cast<std::uint32_t>(table)) {
+            changes.rows.push_back({row.key(), row.value(), row.version(), row.removed()});
+        }
+    }
+    return changes;
+}
+
+void add_changes(wire::StateChanges& message, const table_changes& changes, store_table table) {
+    for (const auto& row : changes.rows) {
+        auto& copy = *message.add_rows();
+        copy.set_table(static_cast<std::uint32_t>(table));
+        copy.set_key(row.key);
+        copy.set_value(row.value);
+        copy.set_version(row.version);
+        copy.set_removed(row.removed);
+    }
+}
 
 }  // namespace
 
@@ -49,6 +83,7 @@
                       [this](const auto& rows, const auto& changed) { on_operator_rows(rows, changed); }),
       m_server_rows(store_table::server_rows, settings.store_address, protocol, m_state.calls, m_state.timers,
                     [this](const auto&, const auto& changed) { on_server_rows(changed); }) {
+    m_state.notices.on_daemon_status = [this](const daemon_status& peer) { on_daemon_status(peer); };
     m_state.notices.on_work = [this](const work_update& update) { m_peers.send_work(update); };
     m_state.notices.on_server_trouble = [this](const server_name& server) { m_peers.send_trouble(server); };
     m_state.notices.on_request_death = [this](std::uint64_t print, int deaths) { m_peers.send_death(print, deaths); };
@@ -87,7 +122,12 @@
     announce_self();
     m_state.timers.after(first_listing, [this] { list_daemons(); });
     m_state.timers.after(second_listing, [this] { list_daemons(); });
-    m_state.timers.every(listing_period, [this] { list_daemons(); });
+    m_state.timers.every(listing_period, [this] {
+        if (m_state.daemons.is_store_reader(m_state.settings.host.value, m_state.timers.now())) {
+            list_daemons();
+        }
+    });
+    m_state.timers.every(reader_check_period, [this] { choose_store_reader(); });
     m_state.timers.every(heartbeat_period, [this] { heartbeat(); });
     m_state.timers.every(housekeeping_period, [this] {
         m_state.pool.expire();
@@ -159,13 +199,12 @@
 
 void gateway::on_server_rows(const std::vector<store_row>& changed) {
     const auto now = m_state.timers.now();
+    const bool heard = m_trouble_heard && now - *m_trouble_heard < store_trouble_memory;
+    const bool trouble = heard || m_server_rows.in_trouble();
     for (const auto& row : changed) {
         if (row.removed) {
-            log_line("server entry gone")
-                .add("server", row.key)
-                .add("store_in_trouble", m_server_rows.in_trouble())
-                .info();
-            m_state.servers.remove(server_name(row.key), m_server_rows.in_trouble(), now);
+            log_line("server entry gone").add("server", row.key).add("store_in_trouble", trouble).info();
+            m_state.servers.remove(server_name(row.key), trouble, now);
             m_state.pacer.forget(server_name(row.key));
             continue;
         }
@@ -183,6 +222,7 @@
             .debug();
         m_state.servers.update(*entry, now);
     }
+    m_peers.send_status();
 }
 
 // ---- other daemons ----
@@ -197,6 +237,7 @@
     status.accepting = is_ready();
     status.operator_rows_version = m_operator_rows.version();
     status.server_rows_version = m_server_rows.version();
+    status.store_in_reach = m_operator_rows.in_reach() && m_server_rows.in_reach();
     return status;
 }
 
@@ -237,58 +278,97 @@
         m_state.load.remove_daemon(boot, now);
     }
     for (const auto& peer : m_state.daemons.alive()) {
-        const bool ahead = peer.operator_rows_version > m_operator_rows.version() ||
-                           peer.server_rows_version > m_server_rows.version();
-        const bool behind_for_long = m_operator_rows.in_trouble() || m_server_rows.in_trouble();
-        if (ahead && behind_for_long && !m_catching_up) {
-            catch_up_from(peer);
-            break;
-        }
+        on_daemon_status(peer);
     }
 }
 
-void gateway::catch_up_from(const daemon_status& peer) {
+void gateway::choose_store_reader() {
+    const bool reads = m_state.daemons.is_store_reader(m_state.settings.host.value, m_state.timers.now());
+    m_operator_rows.set_waiting(reads);
+    m_server_rows.set_waiting(reads);
+}
+
+bool gateway::is_ahead(const daemon_status& peer) const {
+    return peer.operator_rows_version > m_operator_rows.version() ||
+           peer.server_rows_version > m_server_rows.version();
+}
+
+void gateway::on_daemon_status(const daemon_status& peer) {
+    if (!peer.store_in_reach) {
+        m_trouble_heard = m_state.timers.now();
+    }
+    if (m_catching_up || !is_ahead(peer)) {
+        return;
+    }
     m_catching_up = true;
-    const http_request request{"GET", std::string(snapshot_path), {}, {}};
-    m_state.calls.call(
-        peer.peer_address, request, peer_call_limit, [this, name = peer.name](const call_result& result) {
-            m_catching_up = false;
-            wire::StateSnapshot snapshot;
-            if (!result.answer || !snapshot.ParseFromString(result.answer->body)) {
-                log_line("no rows from daemon").add("daemon", name).add("reason", result.failure).warn();
-                return;
-            }
-            table_follower::rows operator_rows;
-            table_follower::rows server_rows;
-            for (const auto& row : snapshot.rows()) {
-                auto& rows =
-                    row.table() == static_cast<std::uint32_t>(store_table::operator_rows) ? operator_rows : server_rows;
-                rows[row.key()] = {row.key(), row.value(), row.version(), false};
-            }
-            m_operator_rows.adopt(std::move(operator_rows), snapshot.operator_rows_version());
-            m_server_rows.adopt(std::move(server_rows), snapshot.server_rows_version());
-        });
+    // Spread, so that not all daemons ask the first one that knows.
+    std::uniform_int_distribution<duration::rep> spread(0, catch_up_spread.count());
+    m_state.timers.after(duration(spread(m_state.random)), [this] { catch_up(); });
 }
 
-http_answer gateway::answer_peer(const http_request& request) const {
-    if (path_of(request.target) != snapshot_path) {
-        return {{404, {}, {}}, {}};
+void gateway::catch_up() {
+    std::vector<daemon_status> ahead;
+    for (const auto& peer : m_state.daemons.alive()) {
+        if (is_ahead(peer)) {
+            ahead.push_back(peer);
+        }
+    }
+    if (ahead.empty()) {
+        m_catching_up = false;
+        return;
     }
-    wire::StateSnapshot snapshot;
-    const auto add = [&](const table_follower& follower, store_table table) {
-        for (const auto& [key, row] : follower.current()) {
-            auto& copy = *snapshot.add_rows();
-            copy.set_table(static_cast<std::uint32_t>(table));
-            copy.set_key(key);
-            copy.set_value(row.value);
-            copy.set_version(row.version);
+    const auto choice = std::uniform_int_distribution<std::size_t>(0, ahead.size() - 1)(m_state.random);
+    const auto& peer = ahead[choice];
+    const http_request request{"GET",
+                               std::string(changes_path) + '?' + std::to_string(m_operator_rows.version()) + ',' +
+                                   std::to_string(m_server_rows.version()),
+                               {},
+                               {}};
+    m_state.calls.call(peer.peer_address, request, peer_call_limit, [this, name = peer.name](const call_result& result) {
+        m_catching_up = false;
+        const auto unpacked =
+            result.answer ? qUncompress(QByteArray::fromStdString(result.answer->body)) : QByteArray();
+        wire::StateChanges changes;
+        if (unpacked.isEmpty() || !changes.ParseFromArray(unpacked.data(), static_cast<int>(unpacked.size()))) {
+            log_line("no rows from daemon").add("daemon", name).add("reason", result.failure).warn();
+            return;
         }
-    };
-    add(m_operator_rows, store_table::operator_rows);
-    add(m_server_rows, store_table::server_rows);
-    snapshot.set_operator_rows_version(m_operator_rows.version());
-    snapshot.set_server_rows_version(m_server_rows.version());
-    return {{200, {}, {}}, snapshot.SerializeAsString()};
+        m_operator_rows.adopt(changes_of(changes, store_table::operator_rows));
+        m_server_rows.adopt(changes_of(changes, store_table::server_rows));
+    });
+}
+
+// The path's query holds the versions of both tables that the other daemon has.
+http_answer gateway::answer_peer(const http_request& request) {
+    const auto question = request.target.find('?');
+    const auto comma = request.target.find(',');
+    if (path_of(request.target) != changes_path || question == std::string::npos || comma == std::string::npos) {
+        return {{404, {}, {}}, {}};
+    }
+    if (m_packed_for != std::pair(m_operator_rows.version(), m_server_rows.version())) {
+        m_packed.clear();
+        m_packed_for = {m_operator_rows.version(), m_server_rows.version()};
+    }
+    // Most daemons ask from the same versions after a change.
+    auto& packed = m_packed[request.target];
+    if (packed.empty()) {
+        std::uint64_t operator_version = 0;
+        std::uint64_t server_version = 0;
+        const char* text = request.target.data();
+        std::from_chars(text + question + 1, text + comma, operator_version);
+        std::from_chars(text + comma + 1, text + request.target.size(), server_version);
+        wire::StateChanges changes;
+        const auto operators = m_operator_rows.changes_since(operator_version);
+        const auto servers = m_server_rows.changes_since(server_version);
+        add_changes(changes, operators, store_table::operator_rows);
+        add_changes(changes, servers, store_table::server_rows);
+        changes.set_operator_rows_version(operators.version);
+        changes.set_operator_rows_whole(operators.whole);
+        changes.set_server_rows_version(servers.version);
+        changes.set_server_rows_whole(servers.whole);
+        packed = qCompress(QByteArray::fromStdString(changes.SerializeAsString()), packing_level).toStdString();
+    }
+    return {{200, {}, {}}, packed};
 }
 
 // ---- the directory and the platform's checks ----
--- a/src/serving/gateway.hpp
+++ b/src/serving/gateway.hpp
@@ -39,7 +39,10 @@
     void announce_self();
     void list_daemons();
     void heartbeat();
-    void catch_up_from(const daemon_status& peer);
+    void on_daemon_status(const daemon_status& peer);
+    [[nodiscard]] bool is_ahead(const daemon_status& peer) const;
+    void catch_up();
+    void choose_store_reader();
     void wait_for_signals();
     void begin_stop();
     void continue_stop();
@@ -49,7 +52,7 @@
     [[nodiscard]] http_answer answer_ready(const http_request& request) const;
     [[nodiscard]] http_answer answer_directory(const http_request& request);
     [[nodiscard]] http_answer answer_metrics(const http_request& request);
-    [[nodiscard]] http_answer answer_peer(const http_request& request) const;
+    [[nodiscard]] http_answer answer_peer(const http_request& request);
 
     gateway_state m_state;
     boost::asio::ip::tcp::acceptor m_acceptor;
@@ -64,6 +67,11 @@
     std::vector<std::weak_ptr<front_session>> m_sessions;
     std::optional<time_point> m_stop_began;
     bool m_catching_up = false;
+    // When another daemon last said that it can't reach the store.
+    std::optional<time_point> m_trouble_heard;
+    // Answers to daemons that ask what has changed, by what they have.
+    std::map<std::string, std::string> m_packed;
+    std::pair<std::uint64_t, std::uint64_t> m_packed_for;
 };
 
 }  // namespace verbenahold::serving
--- a/src/serving/gateway_state.hpp
+++ b/src/serving/gateway_state.hpp
@@ -33,8 +33,10 @@
     duration lifetime{};
 };
 
-// Told of what other daemons should learn. Each may be empty.
+// Told of what other daemons should learn, and of what they say. Each may be
+// empty.
 struct peer_notices {
+    std::function<void(const daemon_status&)> on_daemon_status;
     std::function<void(const work_update&)> on_work;
     std::function<void(const server_name&)> on_server_trouble;
     std::function<void(std::uint64_t fingerprint, int deaths)> on_request_death;
--- a/src/serving/peer_link.cpp
+++ b/src/serving/peer_link.cpp
@@ -103,10 +103,14 @@
         heard.accepting = status.accepting();
         heard.operator_rows_version = status.operator_rows_version();
         heard.server_rows_version = status.server_rows_version();
+        heard.store_in_reach = status.store_in_reach();
         add_address(heard.peer_address);
         if (m_state.daemons.on_status(heard, now)) {
             log_line("daemon joined").add("daemon", heard.name).add("boot", heard.boot).info();
         }
+        if (m_state.notices.on_daemon_status) {
+            m_state.notices.on_daemon_status(heard);
+        }
     }
     for (const auto& update : datagram.work()) {
         digest_work(datagram.boot(), update);
@@ -148,6 +152,7 @@
     status.set_accepting(own.accepting);
     status.set_operator_rows_version(own.operator_rows_version);
     status.set_server_rows_version(own.server_rows_version);
+    status.set_store_in_reach(own.store_in_reach);
     send_to_all(datagram);
 }
 
--- a/src/serving/table_follower.cpp
+++ b/src/serving/table_follower.cpp
@@ -35,16 +35,42 @@
     return m_failing || (m_last_failure && m_timers.now() - *m_last_failure < store_trouble_memory);
 }
 
+void table_follower::set_waiting(bool waits) {
+    if (waits == m_waits) {
+        return;
+    }
+    m_waits = waits;
+    log_line(waits ? "waiting at the store" : "leaving the store to others").add("table", table_label(m_table)).info();
+    if (waits && is_loaded() && !m_calling) {
+        m_timers.unsubscribe(m_next_call);
+        await_changes(change_wait);
+    }
+}
+
+void table_follower::go_on() {
+    if (m_waits) {
+        await_changes(change_wait);
+        return;
+    }
+    m_next_call = m_timers.after(standby_period, [this] { await_changes({}); });
+}
+
 void table_follower::call(const http_request& request, duration limit, std::function<void(const store_page&)> done) {
+    m_calling = true;
     m_calls.call(m_store_address, request, limit, [this, done = std::move(done)](const call_result& result) {
+        m_calling = false;
         if (!result.answer) {
-            pause_and_retry(result.failure, false);
+            on_failure(result.failure);
             return;
         }
         const auto page = m_wire.read_page(*result.answer);
         if (const auto* fault = std::get_if<store_fault>(&page)) {
-            const bool gone = *fault == store_fault::history_gone;
-            pause_and_retry(gone ? "the store's history is gone" : "the store refused the call", gone);
+            if (*fault == store_fault::history_gone) {
+                log_line("reloading table").add("table", table_label(m_table)).add("version", m_version).info();
+                load({});
+            } else {
+                on_failure(*fault == store_fault::malformed ? "the answer is malformed" : "the store refused the call");
+            }
             return;
         }
         if (m_failing) {
@@ -56,26 +82,17 @@
     });
 }
 
-void table_follower::pause_and_retry(std::string_view reason, bool reload) {
-    if (reload) {
-        log_line("reloading table").add("table", table_label(m_table)).add("reason", reason).info();
-        load({});
-        return;
-    }
+void table_follower::on_failure(std::string_view reason) {
     m_last_failure = m_timers.now();
     if (!m_failing) {
         m_failing = true;
-        log_line("store lost")
-            .add("table", table_label(m_table))
-            .add("reason", reason)
-            .add("version", m_version)
-            .warn();
+        log_line("store lost").add("table", table_label(m_table)).add("reason", reason).add("version", m_version).warn();
     }
     const auto pause = m_pause;
     m_pause = std::min(m_pause * 2, longest_store_pause);
-    m_timers.after(pause, [this] {
+    m_next_call = m_timers.after(pause, [this] {
         if (is_loaded()) {
-            await_changes();
+            await_changes(m_waits ? change_wait : duration{});
         } else {
             load({});
         }
@@ -100,7 +117,22 @@
     }
     replace(std::move(m_loading), page.version);
     m_loading.clear();
-    await_changes();
+    go_on();
+}
+
+void table_follower::await_changes(duration wait) {
+    call(m_wire.await_rows(m_table, m_version, wait), wait + change_wait_slack, [this](const store_page& page) {
+        merge(page.rows, page.version);
+        go_on();
+    });
+}
+
+void table_follower::note_removed(const store_row& row) {
+    m_removed.push_back(row);
+    if (m_removed.size() > most_removed_rows) {
+        m_history_begins = m_removed.front().version;
+        m_removed.pop_front();
+    }
 }
 
 void table_follower::replace(rows fresh, std::uint64_t version) {
@@ -123,48 +155,64 @@
     }
     m_rows = std::move(fresh);
     m_version = version;
+    // When each row was removed is not known.
+    m_removed.clear();
+    m_history_begins = version;
     m_on_change(m_rows, changed);
 }
 
-void table_follower::adopt(rows newer, std::uint64_t version) {
-    if (version > m_version) {
-        log_line("rows from another daemon")
-            .add("table", table_label(m_table))
-            .add("version", version)
-            .add("before", m_version)
-            .info();
-        replace(std::move(newer), version);
-    }
-}
-
-void table_follower::await_changes() {
-    call(m_wire.await_rows(m_table, m_version, change_wait), change_wait + change_wait_slack,
-         [this](const store_page& page) { on_changes(page); });
-}
-
-void table_follower::on_changes(const store_page& page) {
+void table_follower::merge(const std::vector<store_row>& newer, std::uint64_t version) {
     std::vector<store_row> changed;
-    for (const auto& row : page.rows) {
+    for (const auto& row : newer) {
         const auto known = m_rows.find(row.key);
-        // Another daemon's newer copy may have come in between.
-        if (row.version <= m_version && known != m_rows.end() && known->second.version >= row.version) {
-            continue;
-        }
-        if (row.version <= m_version && known == m_rows.end()) {
+        // Rows come twice when another daemon was faster than the store.
+        const auto known_version = known == m_rows.end() ? 0 : known->second.version;
+        if (row.version <= std::max(known_version, known == m_rows.end() ? m_version : 0)) {
             continue;
         }
         changed.push_back(row);
         if (row.removed) {
             m_rows.erase(row.key);
+            note_removed(row);
         } else {
             m_rows[row.key] = row;
         }
     }
-    m_version = std::max(m_version, page.version);
+    m_version = std::max(m_version, version);
     if (!changed.empty()) {
         m_on_change(m_rows, changed);
     }
-    await_changes();
+}
+
+void table_follower::adopt(const table_changes& changes) {
+    if (changes.version <= m_version) {
+        return;
+    }
+    if (!changes.whole) {
+        merge(changes.rows, changes.version);
+        return;
+    }
+    rows all;
+    for (const auto& row : changes.rows) {
+        all[row.key] = row;
+    }
+    replace(std::move(all), changes.version);
+}
+
+table_changes table_follower::changes_since(std::uint64_t version) const {
+    table_changes changes;
+    changes.version = m_version;
+    changes.whole = version < m_history_begins;
+    for (const auto& [key, row] : m_rows) {
+        if (changes.whole || row.version > version) {
+            changes.rows.push_back(row);
+        }
+    }
+    if (!changes.whole) {
+        std::copy_if(m_removed.begin(), m_removed.end(), std::back_inserter(changes.rows),
+                     [&](const store_row& row) { return row.version > version; });
+    }
+    return changes;
 }
 
 }  // namespace verbenahold::serving
