--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -122,14 +122,18 @@
             m_ready, settings.ready_address, [this](const auto& r) { return answer_ready(r); }, fault) &&
         open_service(
             m_directory, settings.directory_address, [this](const auto& r) { return answer_directory(r); }, fault) &&
-        open_service(
-            m_metrics, settings.metrics_address, [this](const auto& r) { return answer_metrics(r); }, fault) &&
         open_service(
             m_peer_service, settings.peer_address, [this](const auto& r) { return answer_peer(r); }, fault) &&
         m_peers.open(settings.peer_address, fault) && open_listener(m_acceptor, settings.front_address, fault);
     if (!open) {
         return false;
     }
+    std::string metrics_fault;
+    if (!open_service(
+            m_metrics, settings.metrics_address, [this](const auto& r) { return answer_metrics(r); }, metrics_fault)) {
+        // Callers are served all the same.
+        log_line("metrics not served").add("reason", metrics_fault).error();
+    }
     accept();
     wait_for_signals();
     m_operator_rows.start();
