--- a/src/routing/engine_load.cpp
+++ b/src/routing/engine_load.cpp
@@ -1,5 +1,7 @@
 #include "engine_load.hpp"
 
+#include "duration_units.hpp"
+
 #include <algorithm>
 
 namespace verbenahold::serving {
@@ -62,7 +64,7 @@
     }
     if (request.reading) {
         server.readers[id] = {now, item.latency_target, item.weight};
-        const auto takes = std::chrono::microseconds(static_cast<std::int64_t>(item.read_ms * 1'000));
+        const auto takes = from_ms(item.read_ms);
         server.reading_ends = std::max(server.reading_ends, now) + takes;
     }
 }
@@ -156,7 +158,7 @@
     }
     server_load load = found->second.load;
     const auto left = found->second.reading_ends - now;
-    load.backlog_ms = std::max(0.0, std::chrono::duration<double, std::milli>(left).count());
+    load.backlog_ms = std::max(0.0, to_ms(left));
     for (const auto& [id, reader] : found->second.readers) {
         load.readers.push_back(reader);
     }
--- a/src/routing/lateness.cpp
+++ b/src/routing/lateness.cpp
@@ -1,5 +1,7 @@
 #include "lateness.hpp"
 
+#include "duration_units.hpp"
+
 #include <algorithm>
 
 namespace verbenahold::serving {
@@ -21,10 +23,6 @@
 // What a millisecond of reading costs each stream beside it in any case.
 constexpr double cost_per_stream_ms = 0.0002;
 
-double to_ms(duration value) {
-    return std::chrono::duration<double, std::milli>(value).count();
-}
-
 double ramp(double value, double begin, double end) {
     return std::clamp((value - begin) / (end - begin), 0.0, 1.0);
 }
--- a/src/routing/placer.cpp
+++ b/src/routing/placer.cpp
@@ -1,5 +1,6 @@
 #include "placer.hpp"
 
+#include "duration_units.hpp"
 #include "lateness.hpp"
 
 #include <algorithm>
@@ -24,14 +25,6 @@
 // Numbers of servers that a prompt is spread over, the first one included.
 constexpr std::array<std::size_t, 9> spreads{1, 2, 3, 4, 6, 8, 11, 14, most_helpers + 1};
 
-duration from_ms(double milliseconds) {
-    return std::chrono::microseconds(std::llround(milliseconds * 1'000));
-}
-
-double to_ms(duration value) {
-    return std::chrono::duration<double, std::milli>(value).count();
-}
-
 std::size_t draw(std::mt19937_64& random, std::size_t count) {
     return std::uniform_int_distribution<std::size_t>(0, count - 1)(random);
 }
--- a/src/serving/exchange.hpp
+++ b/src/serving/exchange.hpp
@@ -12,6 +12,9 @@
 
 namespace verbenahold::serving {
 
+// Retry-After when servers rejected a request or could not be reached.
+inline constexpr duration retry_after_rejection = std::chrono::milliseconds(400);
+
 // Where the answer goes. Calls after the caller has left are ignored.
 class answer_sink {
 public:
--- /dev/null
+++ b/src/serving/exchange_attempts.cpp
@@ -0,0 +1,440 @@
+// The part of an exchange that talks to servers: one attempt after the other.
+#include "duration_units.hpp"
+#include "exchange.hpp"
+#include "lateness.hpp"
+#include "log_line.hpp"
+
+#include <algorithm>
+
+namespace verbenahold::serving {
+
+namespace {
+
+// Silence of a server beyond what was predicted, in latency targets and in
+// milliseconds, before a repeatable request is given to another server.
+constexpr double silence_targets = 2;
+constexpr duration least_silence = std::chrono::milliseconds(500);
+// Silence in the middle of a stream before another server continues it, in
+// pause targets and at least: callers leave after two seconds.
+constexpr double silence_pauses = 5;
+constexpr duration least_stream_silence = std::chrono::milliseconds(1'200);
+// A model engine that writes gives events of some stream more often than this,
+// also when it is overloaded.
+constexpr duration silent_server = std::chrono::milliseconds(1'600);
+// Requests that were sent this much later overtake only one that is stuck.
+constexpr duration overtaking_margin = std::chrono::milliseconds(400);
+constexpr duration silence_check_period = std::chrono::milliseconds(100);
+// Retry-After when the servers' memory is taken: about the time that a long
+// prompt's answer takes.
+constexpr duration retry_without_memory = std::chrono::milliseconds(1'500);
+// Attempts of one request are numbered in the low bits of their work's number.
+constexpr unsigned attempt_bits = 8;
+constexpr std::uint64_t attempt_mask = (1U << attempt_bits) - 1;
+// Largest answer that is kept whole before it is passed on.
+constexpr std::size_t largest_whole_answer = 16UL * 1024 * 1024;
+// Unsent bytes of a stream from which on the server is no longer read.
+constexpr std::size_t most_unsent_bytes = 256UL * 1024;
+// Priorities that servers know; 0 is the most urgent.
+constexpr int least_urgent = 9;
+
+std::string names_of(std::span<const reading_helper> helpers) {
+    std::string names;
+    for (const auto& helper : helpers) {
+        names.append(names.empty() ? "" : ",").append(helper.server->id.value);
+    }
+    return names;
+}
+
+}  // namespace
+
+void exchange::begin_attempt(const placement& chosen) {
+    m_waiting_since.reset();
+    m_attempt.emplace();
+    m_attempt->placed = chosen;
+    m_attempt->server = chosen.first->id;
+    m_attempt->sent_at = m_state.timers.now();
+    // Each attempt is work of its own; the low bits count them.
+    m_attempt->work = {m_state.boot, (m_number << attempt_bits) | (m_attempts_begun++ & attempt_mask)};
+    announce_work(work_event::started);
+    const auto reserves = [](const reading_helper& helper) { return helper.reserved_tokens > 0; };
+    if (std::any_of(chosen.helpers.begin(), chosen.helpers.end(), reserves)) {
+        reserve_memory();
+    } else {
+        forward();
+    }
+}
+
+void exchange::reserve_memory() {
+    std::vector<memory_reservation::part> parts;
+    for (const auto& helper : m_attempt->placed.helpers) {
+        if (helper.reserved_tokens > 0) {
+            parts.push_back({helper.server->address, helper.reserved_tokens, {}});
+        }
+    }
+    log_line("reserving memory")
+        .add("request", m_request.attempt_id)
+        .add("servers", parts.size())
+        .add("tokens", m_request.prompt_tokens)
+        .info();
+    const auto name = std::to_string(m_state.boot) + '-' + std::to_string(m_attempt->work.number);
+    m_attempt->memory = std::make_shared<memory_reservation>(m_state, name, std::move(parts));
+    const auto weak = weak_from_this();
+    m_attempt->memory->acquire([weak, number = m_attempt->work.number](bool reserved) {
+        const auto self = weak.lock();
+        if (!self || !self->m_attempt || self->m_attempt->work.number != number) {
+            return;
+        }
+        if (reserved) {
+            self->forward();
+            return;
+        }
+        self->end_attempt();
+        self->wait_for_place({"no server has memory for the prompt", retry_without_memory});
+    });
+}
+
+forwarding exchange::fields_to_add() const {
+    forwarding added;
+    added.server = m_attempt->server;
+    added.time_left = std::max(time_left(), duration(std::chrono::milliseconds(1)));
+    if (m_account != nullptr) {
+        added.account = m_account->name;
+    }
+    if (m_service->engine) {
+        const int rank = m_account != nullptr && m_account->priority ? *m_account->priority : m_route->priority;
+        added.priority = std::clamp(rank, 0, least_urgent);
+    }
+    added.last_event_id = m_last_event;
+    for (const auto& helper : m_attempt->placed.helpers) {
+        added.helpers.push_back({helper.server->address, {}});
+        if (helper.reserved_tokens > 0) {
+            added.helpers.back().reservation = m_attempt->memory->name_at(helper.server->address);
+        }
+    }
+    return added;
+}
+
+void exchange::forward() {
+    const auto& chosen = m_attempt->placed;
+    const auto request = m_state.wire.server_request(m_request, fields_to_add());
+    const bool once = m_route->repeat == repeat_rule::at_most_once;
+    m_tried.push_back(m_attempt->server);
+    m_attempt->sent_at = m_state.timers.now();
+    m_state.pacer.on_sent(m_attempt->server, m_attempt->sent_at);
+    m_attempt->connection =
+        m_state.pool.take(chosen.first->address, once ? idle_time_for_single_runs : default_idle_time);
+    log_line("forwarded")
+        .add("request", m_request.attempt_id)
+        .add("server", m_attempt->server.value)
+        .add("attempt", m_tried.size())
+        .add("helpers", names_of(chosen.helpers))
+        .add("tokens", m_request.prompt_tokens)
+        .add("part_ms", chosen.part_ms)
+        .add("predicted_ms", chosen.predicted)
+        .add("left_ms", time_left())
+        .info();
+    ++m_history.sent;
+    ++m_history.may_have_run;
+    answer_callbacks callbacks;
+    const auto self = shared_from_this();
+    callbacks.on_head = [self](const http_answer_head& head) { return self->on_head(head); };
+    callbacks.on_body = [self](const std::string& bytes) { self->on_body(bytes); };
+    callbacks.on_complete = [self] { self->on_complete(); };
+    callbacks.on_failure = [self](const call_failure& failure) { self->on_failure(failure); };
+    if (!once) {
+        const auto silence = std::max(least_silence, scaled(m_route->latency_target, silence_targets));
+        watch_silence(chosen.predicted + silence);
+    }
+    m_attempt->connection->send(request_bytes(request, {}), request.method == "HEAD", std::move(callbacks));
+}
+
+void exchange::announce_work(work_event event) {
+    const auto now = m_state.timers.now();
+    work_update update;
+    update.id = m_attempt->work;
+    update.event = event;
+    update.lifetime = time_left() + std::chrono::seconds(1);
+    if (event == work_event::started) {
+        const auto& placed = m_attempt->placed;
+        const auto context = m_request.prompt_tokens + m_request.max_output_tokens;
+        std::int64_t reserved = 0;
+        const double weight = m_service->engine ? request_weight(*m_service->engine, m_request.prompt_tokens) : 1;
+        update.items.push_back(
+            {m_attempt->server, placed.part_ms, context, true, m_route->pause_target, m_route->latency_target, weight});
+        for (const auto& helper : placed.helpers) {
+            reserved += helper.reserved_tokens;
+            update.items.push_back({helper.server->id,
+                                    placed.part_ms,
+                                    helper.reserved_tokens,
+                                    false,
+                                    {},
+                                    m_route->latency_target,
+                                    weight});
+        }
+        update.items.front().context_tokens -= std::min(reserved, context);
+        for (const auto& item : update.items) {
+            m_state.load.add(update.id, item, now, now + update.lifetime);
+        }
+    } else if (event == work_event::read) {
+        m_state.load.reading_done(update.id, now);
+    } else {
+        m_state.load.remove(update.id, now);
+    }
+    if (m_state.notices.on_work) {
+        m_state.notices.on_work(update);
+    }
+}
+
+void exchange::watch_silence(duration limit) {
+    m_state.timers.unsubscribe(m_silence_timer);
+    m_silence_timer = m_state.timers.after(limit, [this] { on_silence(); });
+}
+
+void exchange::end_attempt() {
+    m_state.timers.unsubscribe(m_silence_timer);
+    if (!m_attempt) {
+        return;
+    }
+    announce_work(work_event::ended);
+    if (!m_attempt->connection) {
+        m_attempt.reset();
+        return;
+    }
+    if (m_attempt->connection->is_reusable()) {
+        m_state.pool.put_back(m_attempt->connection);
+    } else {
+        m_attempt->connection->close();
+    }
+    m_attempt.reset();
+}
+
+bool exchange::on_head(const http_answer_head& head) {
+    const auto decoded = m_state.wire.read_answer(head);
+    if (!decoded.attempt_id.empty() && decoded.attempt_id != m_request.attempt_id) {
+        log_line("skipped answer of another request")
+            .add("request", m_request.attempt_id)
+            .add("answer_for", decoded.attempt_id)
+            .add("server", m_attempt->server.value)
+            .warn();
+        return false;
+    }
+    m_attempt->answer.head = head;
+    m_attempt->decoded = decoded;
+    const bool success = head.status >= 200 && head.status < 300;
+    m_attempt->streams = success && decoded.proved && m_route->form == answer_form::event_stream;
+    return true;
+}
+
+void exchange::on_body(std::string_view bytes) {
+    if (m_attempt->streams) {
+        on_events(m_attempt->events.feed(bytes));
+        return;
+    }
+    m_attempt->answer.body += bytes;
+    if (m_attempt->answer.body.size() > largest_whole_answer) {
+        conclude(attempt_lost{}, "the answer is too large");
+    }
+}
+
+void exchange::on_events(std::vector<stream_event> events) {
+    if (m_attempt->events.overflowed()) {
+        conclude(attempt_lost{}, "an event is too large");
+        return;
+    }
+    std::string bytes;
+    for (auto& event : events) {
+        if (event.id && m_last_event) {
+            if (*event.id <= *m_last_event) {
+                continue;
+            }
+            if (*event.id > *m_last_event + 1) {
+                conclude(attempt_lost{}, "an event is missing");
+                return;
+            }
+        }
+        if (event.id) {
+            m_last_event = event.id;
+        }
+        bytes += event.bytes;
+    }
+    if (events.empty()) {
+        return;
+    }
+    m_state.load.note_activity(m_attempt->server, m_state.timers.now());
+    if (!m_attempt->reading_reported) {
+        m_attempt->reading_reported = true;
+        announce_work(work_event::read);
+        const auto took = m_state.timers.now() - m_attempt->sent_at;
+        m_state.counters.observe("first_event_ms", std::chrono::duration<double, std::milli>(took).count());
+        log_line("first event")
+            .add("request", m_request.attempt_id)
+            .add("server", m_attempt->server.value)
+            .add("took_ms", took)
+            .add("predicted_ms", m_attempt->placed.predicted)
+            .info();
+    }
+    if (m_sink != nullptr && !bytes.empty()) {
+        if (!m_history.answer_begun) {
+            m_history.answer_begun = true;
+            m_sink->begin_stream(m_attempt->answer.head);
+        }
+        m_sink->stream(std::move(bytes));
+        if (m_sink->unsent_bytes() > most_unsent_bytes) {
+            m_attempt->connection->pause_reading(true);
+        }
+    }
+    watch_silence(std::max(least_stream_silence, scaled(m_route->pause_target, silence_pauses)));
+}
+
+void exchange::caller_caught_up() {
+    if (m_attempt && m_attempt->connection) {
+        m_attempt->connection->pause_reading(false);
+    }
+}
+
+void exchange::on_complete() {
+    const auto& current = *m_attempt;
+    const int status = current.answer.head.status;
+    const bool success = status >= 200 && status < 300;
+    if (current.streams) {
+        if (current.events.pending() > 0) {
+            conclude(attempt_lost{}, "the stream ended inside an event");
+            return;
+        }
+        m_state.servers.report_success(current.server);
+        m_state.guard.on_completed(m_fingerprint);
+        if (!m_history.answer_begun) {
+            m_history.answer_begun = true;
+            m_sink->begin_stream(current.answer.head);
+        }
+        end_attempt();
+        auto* sink = m_sink;
+        ended("answered", status, "stream complete");
+        sink->end_stream();
+        return;
+    }
+    if (current.decoded.wrong_server || current.decoded.not_executed) {
+        conclude(attempt_not_executed{},
+                 current.decoded.wrong_server ? "another server has the address" : "the server rejected the request");
+        return;
+    }
+    if (status >= 500) {
+        conclude(attempt_failed{}, "the server failed");
+        return;
+    }
+    if (success && !current.decoded.proved) {
+        conclude(attempt_lost{}, "the answer bears no proof");
+        return;
+    }
+    m_state.servers.report_success(current.server);
+    m_state.guard.on_completed(m_fingerprint);
+    const auto answer = current.answer;
+    end_attempt();
+    deliver(answer);
+}
+
+void exchange::on_failure(const call_failure& failure) {
+    if (std::holds_alternative<not_connected>(failure)) {
+        --m_history.sent;
+        --m_history.may_have_run;
+        ++m_history.not_sent;
+        conclude(attempt_not_sent{}, failure_reason(failure));
+        return;
+    }
+    if (std::holds_alternative<answer_missing>(failure)) {
+        // The server may have died of this request: several such deaths in a
+        // row speak against the request.
+        m_state.guard.on_server_death(m_fingerprint, m_state.timers.now());
+        if (m_state.notices.on_request_death) {
+            m_state.notices.on_request_death(m_fingerprint, m_state.guard.deaths(m_fingerprint, m_state.timers.now()));
+        }
+    }
+    conclude(attempt_lost{}, failure_reason(failure));
+}
+
+void exchange::on_silence() {
+    if (!m_attempt) {
+        return;
+    }
+    const bool spare_attempt = m_history.may_have_run < m_route->max_attempts;
+    const bool allowed = m_history.answer_begun ? m_route->resumable : m_route->repeat == repeat_rule::idempotent;
+    if (!spare_attempt || !allowed) {
+        return;
+    }
+    const auto now = m_state.timers.now();
+    // A server whose other requests go on is busy, not silent, unless they
+    // overtake this one.
+    if (m_service->engine && !m_history.answer_begun) {
+        const bool active = now - m_state.load.last_activity(m_attempt->server) < silent_server;
+        const bool overtaken = m_attempt->placed.helpers.empty() &&
+                               m_state.load.newest_read(m_attempt->server) > m_attempt->sent_at + overtaking_margin;
+        if (active && !overtaken) {
+            watch_silence(silence_check_period);
+            return;
+        }
+    }
+    conclude(attempt_lost{}, "the server is silent");
+}
+
+void exchange::conclude(const attempt_outcome& outcome, std::string_view reason) {
+    const auto now = m_state.timers.now();
+    const auto server = m_attempt->server;
+    const auto failure = m_attempt->answer;
+    if (std::holds_alternative<attempt_not_executed>(outcome)) {
+        --m_history.may_have_run;
+    }
+    // A whole answer shows that the server works, whatever it says of the
+    // request.
+    const bool speaks_against_server = std::holds_alternative<attempt_lost>(outcome) ||
+                                       std::holds_alternative<attempt_not_sent>(outcome) ||
+                                       m_attempt->decoded.wrong_server;
+    if (speaks_against_server) {
+        m_state.servers.report_failure(server, now);
+    }
+    // Nobody else needs to find out that it can't be reached.
+    if (std::holds_alternative<attempt_not_sent>(outcome) && m_state.notices.on_server_trouble) {
+        m_state.notices.on_server_trouble(server);
+    }
+    m_state.counters.add("attempts_failed");
+    const auto decision = decide_next(*m_route, m_history, outcome);
+    log_line("attempt failed")
+        .add("request", m_request.attempt_id)
+        .add("server", server.value)
+        .add("reason", reason)
+        .add("status", failure.head.status)
+        .add("after_ms", now - m_attempt->sent_at)
+        .add("may_have_run", m_history.may_have_run)
+        .add("left_ms", time_left())
+        .warn();
+    end_attempt();
+    if (const auto* elsewhere = std::get_if<send_elsewhere>(&decision)) {
+        const int daemons = m_state.daemons.senders_lately(now);
+        if (!elsewhere->is_repeat || m_state.repeats.take(m_service->name, daemons, now)) {
+            place();
+            return;
+        }
+        if (m_history.answer_begun) {
+            cut_off("the budget for repeats is used up");
+        } else if (std::holds_alternative<attempt_failed>(outcome)) {
+            deliver(failure);
+        } else if (m_history.may_have_run > 0) {
+            fail(502, "the budget for repeats is used up");
+        } else {
+            fail(503, "the budget for repeats is used up", retry_after_rejection);
+        }
+        return;
+    }
+    if (std::holds_alternative<deliver_failure>(decision)) {
+        deliver(failure);
+    } else if (const auto* gone = std::get_if<give_up>(&decision)) {
+        if (gone->not_run) {
+            fail(503, gone->reason, retry_after_rejection);
+        } else {
+            fail(502, gone->reason);
+        }
+    } else {
+        cut_off(reason);
+    }
+}
+
+}  // namespace verbenahold::serving
--- a/src/serving/log_line.cpp
+++ b/src/serving/log_line.cpp
@@ -1,5 +1,6 @@
 #include "log_line.hpp"
 
+#include "duration_units.hpp"
 #include "logging.hpp"
 
 #include <cstdio>
@@ -28,7 +29,7 @@
 }
 
 log_line& log_line::add(std::string_view name, duration value) {
-    return add_number(name, std::chrono::duration<double, std::milli>(value).count());
+    return add_number(name, to_ms(value));
 }
 
 void log_line::debug() const {
--- a/test/driver/pass_fleet.cpp
+++ b/test/driver/pass_fleet.cpp
@@ -1,18 +1,12 @@
 #include "pass_fleet.hpp"
 
+#include "duration_units.hpp"
+
 #include <algorithm>
 #include <cmath>
 
 namespace verbenahold::serving {
 
-namespace {
-
-duration from_ms(double milliseconds) {
-    return std::chrono::microseconds(std::llround(milliseconds * 1'000));
-}
-
-}  // namespace
-
 pass_fleet::pass_fleet(int servers, const engine_figures& engine, placement_policy policy, std::uint64_t seed)
     : m_engine(engine), m_placer(policy, seed), m_random(seed) {
     m_service.name = service_name("llm");
