Let a stream that has begun wait for a server instead of refusing its reading

Cause: found by reading: the bound on reading also refused the continuation of a stream whose server had failed, which cut it off. Test first: core_correctness "reading that waits refuses a large prompt...".

--- a/src/routing/placer.cpp
+++ b/src/routing/placer.cpp
@@ -53,7 +53,7 @@
 std::optional<no_placement> refuse_for_reading(const placement_request& request,
                                                std::span<const server_entry* const> servers, const engine_load& load,
                                                time_point now) {
-    if (!request.wanted->engine || is_interactive(request.matched->pause_target)) {
+    if (request.answer_begun || !request.wanted->engine || is_interactive(request.matched->pause_target)) {
         return std::nullopt;
     }
     double all_ms = 0;
--- a/src/routing/placer.hpp
+++ b/src/routing/placer.hpp
@@ -25,6 +25,9 @@
     std::int64_t max_output_tokens = 0;
     // Time until the answer is of no use.
     duration time_left{};
+    // Part of the answer has gone to the caller: it is lost if no server
+    // continues it.
+    bool answer_begun = false;
     // Servers that already had this request.
     std::span<const server_name> excluded;
 };
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -95,6 +95,7 @@
     wanted.prompt_tokens = m_request.prompt_tokens;
     wanted.max_output_tokens = m_request.max_output_tokens > 0 ? m_request.max_output_tokens : assumed_output_tokens;
     wanted.time_left = time_left();
+    wanted.answer_begun = m_history.answer_begun;
     wanted.excluded = m_tried;
     const int daemons = m_state.daemons.senders_lately(now);
     const auto may_send = [&](const server_entry& server) {
@@ -115,10 +116,10 @@
     }
     const bool none_exists = m_state.servers.usable(m_service->name, now).empty();
     const auto longest = std::min(scaled(m_route->latency_target, waiting_part), time_left());
-    if (reason.at_once || none_exists || now - *m_waiting_since >= longest) {
-        if (m_history.answer_begun) {
-            cut_off(reason.reason);
-        } else if (m_history.may_have_run > 0) {
+    const bool too_long = reason.at_once || none_exists || now - *m_waiting_since >= longest;
+    // An answer that has begun waits for a server until its deadline.
+    if (too_long && !m_history.answer_begun) {
+        if (m_history.may_have_run > 0) {
             fail(502, reason.reason);
         } else {
             fail(503, reason.reason, reason.retry_after);
--- a/test/correctness/core_serving_placement.cpp
+++ b/test/correctness/core_serving_placement.cpp
@@ -148,6 +148,36 @@
     }
 }
 
+TEST_CASE("reading that waits refuses a large prompt, but not one whose answer has begun") {
+    server_registry registry;
+    engine_load load;
+    for (int index = 0; index < servers; ++index) {
+        const server_name id("s" + std::to_string(index));
+        registry.update({id, service_name("llm"), "10.0.0.1:80", zone_name("a"), 16, server_phase::ready, 0}, {});
+        load.add({1, static_cast<std::uint64_t>(index)}, {id, 4'000, 100'000, true, 1'000ms, 3'000ms, 10}, {},
+                 time_point(15s));
+    }
+    service wanted_service;
+    wanted_service.name = service_name("llm");
+    wanted_service.engine = engine();
+    const auto kind = long_kind(1);
+    placer placing(lateness_policy{}, seed);
+    placement_request wanted;
+    wanted.wanted = &wanted_service;
+    wanted.matched = &kind.matched;
+    wanted.prompt_tokens = 150'000;
+    wanted.max_output_tokens = 1'000;
+    const auto place = [&] {
+        return placing.place(wanted, registry, load, [](const server_entry&) { return true; }, {});
+    };
+    const auto refused = place();
+    REQUIRE(std::holds_alternative<no_placement>(refused));
+    CHECK(std::get<no_placement>(refused).at_once);
+    CHECK(std::get<no_placement>(refused).retry_after > 0s);
+    wanted.answer_begun = true;
+    CHECK(std::holds_alternative<placement>(place()));
+}
+
 TEST_CASE("without a server the request is refused with a time to come back") {
     const server_registry registry;
     service wanted_service;
