--- a/test/correctness/core_server_registry.cpp
+++ b/test/correctness/core_server_registry.cpp
@@ -70,7 +70,7 @@
     CHECK(usable_count(registry, at(1s)) == 0);
 }
 
-// On trouble-1 of festekfolt-hub (seed 311993192830) one daemon had been turned
+// On a bench day (trouble-1, seed 311993192830) one daemon had been turned
 // away until 1.8 s before a server left, and the full grace began then: a
 // request came 2,014 ms after the server's leaving.
 TEST_CASE("trouble that ended before an entry was removed gives no more than the rest of its grace") {
--- a/test/correctness/core_serving_placement.cpp
+++ b/test/correctness/core_serving_placement.cpp
@@ -104,7 +104,7 @@
     CHECK(in_time(answers, kinds, 1) >= share_in_time);
 }
 
-// On trouble-3 of festekfolt-hub a burst of short prompts took nearly all places;
+// On a bench day (trouble-3) a burst of short prompts took nearly all places;
 // servers that were full got as many more as others and made them wait 1.5 s.
 TEST_CASE("short prompts that nearly fill all places are spread by what waits") {
     const std::vector<played_kind> kinds{short_kind(80), medium_kind(0.5)};
