Let prompts wait for reading room within their target instead of refusing them

Change: how long a request waits is a decision of its own (src/routing/waiting), used by the daemon and by the played fleet: up to half of the latency target for a place, up to an eighth for reading room, then a refusal with the time after which the backlog is predicted to be gone.

--- a/src/routing/placer.hpp
+++ b/src/routing/placer.hpp
@@ -52,8 +52,8 @@
 struct no_placement {
     std::string_view reason;
     duration retry_after{};
-    // Waiting here would only take time from another try.
-    bool at_once = false;
+    // What the servers have to read stands in the way, not their places.
+    bool reading_backlog = false;
 };
 
 using placement_result = std::variant<placement, no_placement>;
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "duration_units.hpp"
 #include "log_line.hpp"
+#include "waiting.hpp"
 
 #include <algorithm>
 
@@ -12,11 +13,6 @@
 // The answer to a request that runs out of time leaves this long before the
 // caller stops waiting: a way to the caller and a turn of the event loop.
 constexpr duration answer_margin = std::chrono::milliseconds(40);
-// How often a request that waits for a place tries again.
-constexpr duration place_retry_period = std::chrono::milliseconds(20);
-// Part of the latency target that a request may wait for a place before it is
-// refused, so that another try can still come in time.
-constexpr double waiting_part = 0.5;
 // Retry-After before the first desired state is known.
 constexpr duration retry_after_start = std::chrono::milliseconds(500);
 // A request that crashed its servers is not worth repeating soon.
@@ -114,23 +110,20 @@
     if (!m_waiting_since) {
         m_waiting_since = now;
     }
-    const bool none_exists = m_state.servers.usable(m_service->name, now).empty();
-    const auto longest = std::min(scaled(m_route->latency_target, waiting_part), time_left());
-    const bool too_long = reason.at_once || none_exists || now - *m_waiting_since >= longest;
-    // An answer that has begun waits for a server until its deadline.
-    if (too_long && !m_history.answer_begun) {
-        if (m_history.may_have_run > 0) {
-            fail(502, reason.reason);
-        } else {
-            fail(503, reason.reason, reason.retry_after);
-        }
-        return;
+    const waiting_request waiting{m_route, now - *m_waiting_since, time_left(), m_history.answer_begun,
+                                  !m_state.servers.usable(m_service->name, now).empty()};
+    const auto decision = decide_waiting(waiting, reason);
+    if (const auto* again = std::get_if<ask_again>(&decision)) {
+        m_wait_timer = m_state.timers.after(again->after, [self = shared_from_this()] {
+            if (!self->m_ended) {
+                self->place();
+            }
+        });
+    } else if (m_history.may_have_run > 0) {
+        fail(502, reason.reason);
+    } else {
+        fail(503, reason.reason, std::get<refuse_now>(decision).retry_after);
     }
-    m_wait_timer = m_state.timers.after(place_retry_period, [self = shared_from_this()] {
-        if (!self->m_ended) {
-            self->place();
-        }
-    });
 }
 
 void exchange::on_deadline() {
--- a/test/correctness/core_serving_placement.cpp
+++ b/test/correctness/core_serving_placement.cpp
@@ -172,7 +172,7 @@
     };
     const auto refused = place();
     REQUIRE(std::holds_alternative<no_placement>(refused));
-    CHECK(std::get<no_placement>(refused).at_once);
+    CHECK(std::get<no_placement>(refused).reading_backlog);
     CHECK(std::get<no_placement>(refused).retry_after > 0s);
     wanted.answer_begun = true;
     CHECK(std::holds_alternative<placement>(place()));
--- /dev/null
+++ b/test/correctness/core_serving_waiting.cpp
@@ -0,0 +1,50 @@
+// Guards against refusing what a server could soon take, and against waiting
+// that leaves no time for another try.
+#include "waiting.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace verbenahold::serving;
+using namespace std::chrono_literals;
+
+namespace {
+
+route long_route() {
+    route made;
+    made.latency_target = 3s;
+    return made;
+}
+
+bool refuses(const waiting_request& request, const no_placement& reason) {
+    return std::holds_alternative<refuse_now>(decide_waiting(request, reason));
+}
+
+}  // namespace
+
+TEST_CASE("a request waits for a place within its target and is then told when to come back") {
+    const auto matched = long_route();
+    const no_placement full{"no place", 700ms, false};
+    CHECK_FALSE(refuses({&matched, 1s, 10s, false, true}, full));
+    const auto decision = decide_waiting({&matched, 1'500ms, 10s, false, true}, full);
+    REQUIRE(std::holds_alternative<refuse_now>(decision));
+    CHECK(std::get<refuse_now>(decision).retry_after == 700ms);
+}
+
+TEST_CASE("waiting for other prompts to be read leaves time to read its own") {
+    const auto matched = long_route();
+    const no_placement backlog{"reading", 700ms, true};
+    CHECK_FALSE(refuses({&matched, 300ms, 10s, false, true}, backlog));
+    CHECK(refuses({&matched, 400ms, 10s, false, true}, backlog));
+}
+
+TEST_CASE("what no server can take is refused at once, unless its answer has begun") {
+    const auto matched = long_route();
+    const no_placement none{"no server", 700ms, false};
+    CHECK(refuses({&matched, 0s, 10s, false, false}, none));
+    CHECK_FALSE(refuses({&matched, 5s, 10s, true, false}, none));
+}
+
+TEST_CASE("a request without time left does not wait") {
+    const auto matched = long_route();
+    CHECK(refuses({&matched, 20ms, 10ms, false, true}, {"no place", 700ms, false}));
+}
--- a/test/driver/pass_fleet.cpp
+++ b/test/driver/pass_fleet.cpp
@@ -1,6 +1,7 @@
 #include "pass_fleet.hpp"
 
 #include "duration_units.hpp"
+#include "waiting.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -31,14 +32,16 @@
     for (std::size_t kind = 0; kind < kinds.size(); ++kind) {
         std::exponential_distribution<double> gap(kinds[kind].per_second / 1'000);
         for (double at_ms = gap(m_random); from_ms(at_ms) < length; at_ms += gap(m_random)) {
-            m_events.push({time_point(from_ms(at_ms)), kind, true});
+            const time_point at(from_ms(at_ms));
+            m_events.push({at, m_arrivals.size(), true});
+            m_arrivals.push_back({kind, 0, at});
         }
     }
     while (!m_events.empty()) {
         const auto next = m_events.top();
         m_events.pop();
         m_now = next.at;
-        if (next.arrival) {
+        if (next.arrives) {
             arrive(kinds, next.index);
         } else {
             end_pass(next.index);
@@ -51,14 +54,33 @@
     return answers;
 }
 
-void pass_fleet::arrive(const std::vector<played_kind>& kinds, std::size_t kind) {
-    const auto& played = kinds[kind];
-    const double mu = std::log(played.mean_prompt) - played.spread * played.spread / 2;
-    const double prompt =
-        std::min(std::lognormal_distribution<double>(mu, played.spread)(m_random), played.most_prompt);
+// The same waiting as in a daemon. A caller that is refused does not come back.
+void pass_fleet::wait_or_refuse(const played_kind& played, std::size_t index, const no_placement& reason) {
+    const auto& caller = m_arrivals[index];
+    const auto waited = m_now - caller.first_asked;
+    const waiting_request waiting{&played.matched, waited, played.matched.timeout - waited, false, true};
+    const auto decision = decide_waiting(waiting, reason);
+    if (const auto* again = std::get_if<ask_again>(&decision)) {
+        m_events.push({m_now + again->after, index, true});
+        return;
+    }
+    request refused;
+    refused.answer.kind = caller.kind;
+    refused.answer.refused = true;
+    m_requests.push_back(refused);
+}
+
+void pass_fleet::arrive(const std::vector<played_kind>& kinds, std::size_t index) {
+    auto& caller = m_arrivals[index];
+    const auto& played = kinds[caller.kind];
+    if (caller.prompt == 0) {
+        const double mu = std::log(played.mean_prompt) - played.spread * played.spread / 2;
+        caller.prompt = std::min(std::lognormal_distribution<double>(mu, played.spread)(m_random), played.most_prompt);
+    }
+    const double prompt = caller.prompt;
     request made;
-    made.answer.kind = kind;
-    made.sent = m_now;
+    made.answer.kind = caller.kind;
+    made.sent = caller.first_asked;
     made.events_left = played.events;
     placement_request wanted;
     wanted.wanted = &m_service;
@@ -68,9 +90,8 @@
     wanted.time_left = played.matched.timeout;
     const auto result = m_placer.place(
         wanted, m_registry, m_load, [](const server_entry&) { return true; }, m_now);
-    if (!std::holds_alternative<placement>(result)) {
-        made.answer.refused = true;
-        m_requests.push_back(made);
+    if (const auto* none = std::get_if<no_placement>(&result)) {
+        wait_or_refuse(played, index, *none);
         return;
     }
     made.placed = std::get<placement>(result);
--- a/test/driver/pass_fleet.hpp
+++ b/test/driver/pass_fleet.hpp
@@ -68,15 +68,22 @@
         std::size_t first_server = 0;
         int events_left = 0;
     };
+    // A caller that arrives, or asks for a place again.
+    struct arrival {
+        std::size_t kind = 0;
+        double prompt = 0;
+        time_point first_asked{};
+    };
     struct event {
         time_point at{};
-        // The index of a server whose pass ends, or of the kind that arrives.
+        // The server whose pass ends, or the arrival.
         std::size_t index = 0;
-        bool arrival = false;
+        bool arrives = false;
         bool operator>(const event& other) const { return at > other.at; }
     };
 
-    void arrive(const std::vector<played_kind>& kinds, std::size_t kind);
+    void arrive(const std::vector<played_kind>& kinds, std::size_t index);
+    void wait_or_refuse(const played_kind& played, std::size_t index, const no_placement& reason);
     void begin_pass(std::size_t index);
     // The next part that the server has a place for.
     [[nodiscard]] std::vector<part>::iterator next_part(engine_server& server) const;
@@ -92,6 +99,7 @@
     std::mt19937_64 m_random;
     std::vector<engine_server> m_servers;
     std::vector<request> m_requests;
+    std::vector<arrival> m_arrivals;
     std::priority_queue<event, std::vector<event>, std::greater<>> m_events;
     time_point m_now{};
 };
