Give each daemon a boot of its own, and ask model engines for their load

Cause: the boot was the time of day at the start. Hosts that are switched on together start in the same microsecond, so each daemon took the others' datagrams for its own and placed without knowing of their work until some of them had restarted. The rig's daemons had boots by name and hid it.

Change: the boot mixes the host's name with the start time; the rig starts all daemons in one microsecond. Daemons read the list of daemons at once at their start. Each model engine is asked for its load once a second by one daemon (the highest hash among those alive), which tells the others: requests and memory of daemons that ended and the engine's pace enter placement.

Ruled out: listing of the daemons' table (9 rows on each daemon at 0.4 s).

--- a/src/routing/daemon_view.cpp
+++ b/src/routing/daemon_view.cpp
@@ -1,6 +1,7 @@
 #include "daemon_view.hpp"
 
 #include <xxhash.h>
+#include <algorithm>
 
 namespace verbenahold::serving {
 
@@ -11,6 +12,10 @@
 
 }  // namespace
 
+std::uint64_t boot_number(const std::string& host, std::uint64_t started_unix_us) {
+    return XXH64(host.data(), host.size(), started_unix_us);
+}
+
 bool daemon_view::on_status(const daemon_status& status, time_point now) {
     auto& known = m_alive[status.name];
     const bool fresh = known.status.boot != status.boot;
@@ -57,6 +62,17 @@
     return before < store_readers;
 }
 
+bool daemon_view::is_responsible(const std::string& own_name, std::string_view subject, time_point now) const {
+    const auto weight_of = [&](const std::string& name) {
+        return XXH64(subject.data(), subject.size(), XXH64(name.data(), name.size(), 0));
+    };
+    const auto own_weight = weight_of(own_name);
+    return std::none_of(m_alive.begin(), m_alive.end(), [&](const auto& entry) {
+        const auto& [name, known] = entry;
+        return known.status.accepting && now - known.last_heard < silence_of_readers && weight_of(name) > own_weight;
+    });
+}
+
 int daemon_view::senders_lately(time_point now) {
     if (senders() >= m_peak || now - m_peak_at > peak_memory) {
         m_peak = senders();
--- a/src/routing/daemon_view.hpp
+++ b/src/routing/daemon_view.hpp
@@ -7,10 +7,15 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace verbenahold::serving {
 
+// Names one start of one daemon: differs between hosts that start in the same
+// microsecond and between starts of one host.
+std::uint64_t boot_number(const std::string& host, std::uint64_t started_unix_us);
+
 // What a daemon says of itself.
 struct daemon_status {
     // Differs with each start of a daemon.
@@ -57,6 +62,9 @@
     // Whether the daemon of this name is one that reads the store, among those
     // that reach it. Each daemon decides alone; a few more may read for a while.
     [[nodiscard]] bool is_store_reader(const std::string& own_name, time_point now) const;
+    // Whether this daemon, of those alive, is the one that sees to `subject`.
+    // Two may for a while, or none, until all have heard of a change.
+    [[nodiscard]] bool is_responsible(const std::string& own_name, std::string_view subject, time_point now) const;
     // All daemons that may send requests, this one included.
     [[nodiscard]] int senders() const { return static_cast<int>(m_alive.size()) + 1; }
     // Largest number of senders seen lately: daemons that can't be heard may
--- a/src/routing/engine_load.cpp
+++ b/src/routing/engine_load.cpp
@@ -19,7 +19,7 @@
 double pass_ms(const engine_figures& engine, const server_load& load) {
     const double step = engine.step_ms + engine.step_ms_per_sequence * load.places +
                         engine.step_ms_per_1k_context * static_cast<double>(load.context_tokens) / 1'000;
-    return step * engine.steps_per_pass;
+    return step * engine.steps_per_pass * load.pace;
 }
 
 namespace {
@@ -58,17 +58,29 @@
     auto& server = m_servers[item.server];
     server.load.places += item.writes ? 1 : 0;
     server.load.context_tokens += item.context_tokens;
+    server.most_places = std::max(server.most_places, server.load.places);
+    server.most_tokens = std::max(server.most_tokens, server.load.context_tokens);
     if (is_stream(item)) {
         server.streams[id] = {item.pause_target, item.weight};
         server.load.short_sequences += is_interactive(item.pause_target) ? 1 : 0;
     }
     if (request.reading) {
         server.readers[id] = {now, item.latency_target, item.weight};
-        const auto takes = from_ms(item.read_ms);
+        const auto takes = from_ms(item.read_ms * server.pace);
         server.reading_ends = std::max(server.reading_ends, now) + takes;
     }
 }
 
+void engine_load::on_report(const server_report& report, time_point now) {
+    auto& server = m_servers[report.server];
+    server.foreign_requests = std::max(0, report.requests - server.most_places);
+    server.foreign_tokens = std::max<std::int64_t>(0, report.held_tokens - server.most_tokens);
+    server.pace = std::max(1.0, report.pace);
+    server.reported = now;
+    server.most_places = server.load.places;
+    server.most_tokens = server.load.context_tokens;
+}
+
 void engine_load::stop_reading(work_id id, tracked_request& request, time_point now) {
     if (!request.reading) {
         return;
@@ -147,7 +159,8 @@
     }
     std::erase_if(m_servers, [&](const auto& entry) {
         const auto& server = entry.second;
-        return server.load.places <= 0 && server.readers.empty() && now - server.last_activity > activity_memory;
+        return server.load.places <= 0 && server.readers.empty() && now - server.last_activity > activity_memory &&
+               now - server.reported > activity_memory;
     });
 }
 
@@ -159,6 +172,11 @@
     server_load load = found->second.load;
     const auto left = found->second.reading_ends - now;
     load.backlog_ms = std::max(0.0, to_ms(left));
+    if (now - found->second.reported < report_lifetime) {
+        load.places += found->second.foreign_requests;
+        load.context_tokens += found->second.foreign_tokens;
+        load.pace = found->second.pace;
+    }
     for (const auto& [id, reader] : found->second.readers) {
         load.readers.push_back(reader);
     }
--- a/src/routing/engine_load.hpp
+++ b/src/routing/engine_load.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "desired_state.hpp"
+#include "server_report.hpp"
 
 #include <compare>
 #include <map>
@@ -50,13 +51,16 @@
 
 // Load of one server at one moment.
 struct server_load {
-    // Requests that hold a place: they read or write there.
+    // Requests that hold a place: they read or write there. Includes those that
+    // only the server's own report knows of.
     int places = 0;
     // Writing or reading sequences with a pause target up to `short_pause`.
     int short_sequences = 0;
     std::int64_t context_tokens = 0;
     // Time until all reading that was given to the server is done.
     double backlog_ms = 0;
+    // Time that the server's work takes, in that of a sound one.
+    double pace = 1;
     std::vector<pending_reader> readers;
     std::vector<open_stream> streams;
 };
@@ -88,6 +92,9 @@
     // servers read in the order of arrival, so one that was sent long before
     // is stuck.
     [[nodiscard]] time_point newest_read(const server_name& server) const;
+    // The server told its load. What it has beyond the requests known here was
+    // given by daemons that have ended, and counts until the next report.
+    void on_report(const server_report& report, time_point now);
     // The daemon ended: all its requests are gone.
     void remove_daemon(std::uint64_t daemon, time_point now);
     // Drops items past their time, whose end was never heard of.
@@ -110,6 +117,14 @@
         time_point reading_ends{};
         time_point last_activity{};
         time_point newest_read{};
+        // Requests and tokens beyond those tracked, and when they were told.
+        int foreign_requests = 0;
+        std::int64_t foreign_tokens = 0;
+        double pace = 1;
+        time_point reported{};
+        // Most that was tracked since the report before: reports lag.
+        int most_places = 0;
+        std::int64_t most_tokens = 0;
     };
 
     void detach(work_id id, const tracked_request& request);
--- a/src/routing/placer.cpp
+++ b/src/routing/placer.cpp
@@ -141,7 +141,7 @@
     // Time from now until the server has read a part that is sent now.
     [[nodiscard]] double part_done_ms(const weighed_server& server, double part_ms) const {
         const double wait = std::max(server.base_pass_ms * 0.5, server.load.backlog_ms);
-        return wait + server.base_pass_ms + part_ms;
+        return wait + server.base_pass_ms + part_ms * server.load.pace;
     }
 
     // Time until the server has a place for one more request: each place gets
@@ -245,7 +245,7 @@
 
     // Callers of the server that become late by a part that is read there.
     [[nodiscard]] double harm(const weighed_server& server, double part_ms) const {
-        return harm_of_reading(server.load, server.base_pass_ms, part_ms, m_now);
+        return harm_of_reading(server.load, server.base_pass_ms, part_ms * server.load.pace, m_now);
     }
 
     const placement_request& m_request;
--- a/src/routing/server_registry.cpp
+++ b/src/routing/server_registry.cpp
@@ -66,6 +66,16 @@
     return healthy.empty() ? avoided : healthy;
 }
 
+std::vector<const server_entry*> server_registry::in_use(const service_name& service, time_point now) const {
+    std::vector<const server_entry*> found;
+    for (const auto& [id, server] : m_servers) {
+        if (server.entry.service == service && may_use(server, now)) {
+            found.push_back(&server.entry);
+        }
+    }
+    return found;
+}
+
 const server_entry* server_registry::find(const server_name& id, time_point now) const {
     const auto found = m_servers.find(id);
     if (found == m_servers.end() || !may_use(found->second, now)) {
--- a/src/routing/server_registry.hpp
+++ b/src/routing/server_registry.hpp
@@ -56,6 +56,8 @@
     // Servers of a service that may get new work now. Servers that failed
     // lately are left out unless no other is left.
     [[nodiscard]] std::vector<const server_entry*> usable(const service_name& service, time_point now) const;
+    // The same with those that failed lately.
+    [[nodiscard]] std::vector<const server_entry*> in_use(const service_name& service, time_point now) const;
     // Null for a server that may not get new work.
     [[nodiscard]] const server_entry* find(const server_name& id, time_point now) const;
     [[nodiscard]] std::size_t size() const { return m_servers.size(); }
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -23,9 +23,11 @@
 constexpr std::size_t enough_in_zone = 2;
 // Most addresses in one answer of the directory.
 constexpr std::size_t most_addresses = 64;
-// When the list of daemons is read after the start, and then regularly.
-constexpr duration first_listing = std::chrono::milliseconds(400);
-constexpr duration second_listing = std::chrono::milliseconds(2'500);
+// The list of daemons is read at the start, when it holds those that ran
+// before; again when daemons that start together have written their rows; and
+// then regularly.
+constexpr duration second_listing = std::chrono::milliseconds(400);
+constexpr duration third_listing = std::chrono::milliseconds(2'500);
 constexpr duration listing_period = std::chrono::seconds(12);
 // Pause before the own row is written again after a failure.
 constexpr duration announce_pause = std::chrono::milliseconds(500);
@@ -74,11 +76,12 @@
 }  // namespace
 
 gateway::gateway(boost::asio::io_context& loop, const serving_settings& settings, const wire_protocol& protocol,
-                 std::uint64_t boot)
-    : m_state(settings, protocol, loop, boot, boot ^ std::hash<std::string>{}(settings.host.value)),
+                 std::uint64_t started_unix_us)
+    : m_state(settings, protocol, loop, boot_number(settings.host.value, started_unix_us)),
       m_acceptor(loop),
       m_signals(loop, SIGTERM, SIGINT, SIGHUP),
       m_peers(m_state, [this] { return own_status(); }),
+      m_reports(m_state, [this](const server_report& report) { m_peers.send_report(report); }),
       m_operator_rows(store_table::operator_rows, settings.store_address, protocol, m_state.calls, m_state.timers,
                       [this](const auto& rows, const auto& changed) { on_operator_rows(rows, changed); }),
       m_server_rows(store_table::server_rows, settings.store_address, protocol, m_state.calls, m_state.timers,
@@ -139,14 +142,16 @@
     m_operator_rows.start();
     m_server_rows.start();
     announce_self();
-    m_state.timers.after(first_listing, [this] { list_daemons(); });
+    list_daemons();
     m_state.timers.after(second_listing, [this] { list_daemons(); });
+    m_state.timers.after(third_listing, [this] { list_daemons(); });
     m_state.timers.every(listing_period, [this] {
         if (m_state.daemons.is_store_reader(m_state.settings.host.value, m_state.timers.now())) {
             list_daemons();
         }
     });
     m_state.timers.every(reader_check_period, [this] { choose_store_reader(); });
+    m_reports.start();
     m_state.timers.every(heartbeat_period, [this] { heartbeat(); });
     m_state.timers.every(housekeeping_period, [this] {
         m_state.pool.expire();
@@ -279,19 +284,27 @@
     });
 }
 
-void gateway::list_daemons() {
-    const auto request = m_state.wire.list_rows(store_table::daemon_rows, {});
+void gateway::list_daemons(const std::string& first_key) {
+    const auto request = m_state.wire.list_rows(store_table::daemon_rows, first_key);
     m_state.calls.call(m_state.settings.store_address, request, store_call_limit, [this](const call_result& result) {
         if (!result.answer) {
             log_line("daemons not listed").add("reason", result.failure).warn();
             return;
         }
         const auto page = m_state.wire.read_page(*result.answer);
-        if (const auto* listed = std::get_if<store_page>(&page)) {
-            for (const auto& row : listed->rows) {
-                m_peers.add_address(row.value);
-            }
-            m_peers.send_status();
+        const auto* listed = std::get_if<store_page>(&page);
+        if (listed == nullptr) {
+            log_line("daemons not listed").add("status", result.answer->head.status).warn();
+            return;
+        }
+        for (const auto& row : listed->rows) {
+            m_peers.add_address(row.value);
+        }
+        log_line("daemons listed").add("rows", listed->rows.size()).add("version", listed->version).info();
+        m_peers.send_status();
+        if (listed->has_more && !listed->rows.empty()) {
+            // The first key after the last one.
+            list_daemons(listed->rows.back().key + '\0');
         }
     });
 }
--- a/src/serving/gateway.hpp
+++ b/src/serving/gateway.hpp
@@ -4,6 +4,7 @@
 
 #include "gateway_state.hpp"
 #include "peer_link.hpp"
+#include "report_poller.hpp"
 #include "service_listener.hpp"
 #include "table_follower.hpp"
 
@@ -18,9 +19,9 @@
 
 class gateway {
 public:
-    // `boot` differs with each start of the daemon.
+    // `started_unix_us` is the time of day at the start, in microseconds.
     gateway(boost::asio::io_context& loop, const serving_settings& settings, const wire_protocol& protocol,
-            std::uint64_t boot);
+            std::uint64_t started_unix_us);
     ~gateway();
     gateway(const gateway&) = delete;
     gateway& operator=(const gateway&) = delete;
@@ -37,7 +38,8 @@
     void on_operator_rows(const table_follower::rows& rows, const std::vector<store_row>& changed);
     void on_server_rows(const std::vector<store_row>& changed);
     void announce_self();
-    void list_daemons();
+    // Reads the daemons' own rows from `first_key` on.
+    void list_daemons(const std::string& first_key = {});
     void heartbeat();
     void on_daemon_status(const daemon_status& peer);
     [[nodiscard]] bool is_ahead(const daemon_status& peer) const;
@@ -58,6 +60,7 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::signal_set m_signals;
     peer_link m_peers;
+    report_poller m_reports;
     table_follower m_operator_rows;
     table_follower m_server_rows;
     std::unique_ptr<service_listener> m_ready;
--- a/src/serving/gateway_state.hpp
+++ b/src/serving/gateway_state.hpp
@@ -44,18 +44,18 @@
 
 struct gateway_state {
     gateway_state(const serving_settings& chosen, const wire_protocol& protocol, boost::asio::io_context& io,
-                  std::uint64_t started, std::uint64_t seed)
+                  std::uint64_t boot_of_daemon)
         : settings(chosen),
           wire(protocol),
           loop(io),
           timers(io),
           pool(io, timers),
           calls(pool, timers),
-          placing(lateness_policy{}, seed),
+          placing(lateness_policy{}, boot_of_daemon),
           pacer(chosen.cold),
           repeats(chosen.repeats),
-          random(seed),
-          boot(started) {}
+          random(boot_of_daemon),
+          boot(boot_of_daemon) {}
 
     const serving_settings& settings;
     const wire_protocol& wire;
--- a/src/serving/peer_link.cpp
+++ b/src/serving/peer_link.cpp
@@ -123,6 +123,11 @@
     for (const auto& server : datagram.troubled_servers()) {
         m_state.servers.report_failure(server_name(server), now);
     }
+    for (const auto& report : datagram.reports()) {
+        m_state.load.on_report({server_name(report.server()), static_cast<int>(report.requests()),
+                                static_cast<std::int64_t>(report.held_tokens()), report.pace()},
+                               now);
+    }
     for (const auto& death : datagram.deaths()) {
         m_state.guard.on_heard(death.fingerprint(), static_cast<int>(death.deaths()), now);
     }
@@ -184,6 +189,15 @@
     schedule();
 }
 
+void peer_link::send_report(const server_report& report) {
+    auto& message = *m_gathered->add_reports();
+    message.set_server(report.server.value);
+    message.set_requests(static_cast<std::uint32_t>(report.requests));
+    message.set_held_tokens(static_cast<std::uint64_t>(report.held_tokens));
+    message.set_pace(static_cast<float>(report.pace));
+    schedule();
+}
+
 void peer_link::send_death(std::uint64_t fingerprint, int deaths) {
     auto& death = *m_gathered->add_deaths();
     death.set_fingerprint(fingerprint);
--- a/src/serving/peer_link.hpp
+++ b/src/serving/peer_link.hpp
@@ -42,6 +42,7 @@
 
     void send_work(const work_update& update);
     void send_trouble(const server_name& server);
+    void send_report(const server_report& report);
     void send_death(std::uint64_t fingerprint, int deaths);
 
 private:
--- /dev/null
+++ b/src/serving/report_poller.cpp
@@ -0,0 +1,104 @@
+#include "report_poller.hpp"
+
+#include "log_line.hpp"
+
+#include <cmath>
+
+namespace verbenahold::serving {
+
+namespace {
+
+// Engines are asked after the daemons that run have heard of each other, so
+// that each engine is asked by one of them.
+constexpr duration first_asked_after = heartbeat_period;
+constexpr duration check_period = std::chrono::milliseconds(100);
+// An engine answers without taking a place, so silence of this length is a
+// fault of it or of the way there.
+constexpr duration answer_limit = std::chrono::milliseconds(600);
+// Two in a row, since links lose packets.
+constexpr int unanswered_in_a_row = 2;
+// Changes that are logged.
+constexpr double notable_pace_change = 0.25;
+constexpr int notable_foreign_requests = 4;
+
+}  // namespace
+
+report_poller::report_poller(gateway_state& state, std::function<void(const server_report&)> on_report)
+    : m_state(state), m_on_report(std::move(on_report)) {}
+
+void report_poller::start() {
+    m_state.timers.after(first_asked_after, [this] { m_state.timers.every(check_period, [this] { ask_due(); }); });
+}
+
+void report_poller::ask_due() {
+    if (!m_state.routes || m_state.stopping) {
+        return;
+    }
+    const auto now = m_state.timers.now();
+    for (const auto& [name, service] : m_state.routes->state().services) {
+        if (!service.engine) {
+            continue;
+        }
+        for (const server_entry* server : m_state.servers.in_use(name, now)) {
+            auto& asked = m_asked[server->id];
+            if (asked.next > now ||
+                !m_state.daemons.is_responsible(m_state.settings.host.value, server->id.value, now)) {
+                continue;
+            }
+            asked.next = now + report_period;
+            ask(*server);
+        }
+    }
+    std::erase_if(m_asked, [&](const auto& entry) { return now - entry.second.next > report_lifetime; });
+}
+
+void report_poller::ask(const server_entry& server) {
+    m_state.calls.call(server.address, m_state.wire.ask_load(), answer_limit,
+                       [this, id = server.id](const call_result& result) { on_answer(id, result); });
+}
+
+void report_poller::on_answer(const server_name& server, const call_result& result) {
+    auto& asked = m_asked[server];
+    const auto report = result.answer ? m_state.wire.read_load(server, *result.answer) : std::nullopt;
+    if (report) {
+        asked.unanswered = 0;
+        note(asked, *report);
+        return;
+    }
+    const std::string status = result.answer ? std::to_string(result.answer->head.status) : std::string();
+    log_line("no report from server")
+        .add("server", server.value)
+        .add("reason", result.failure)
+        .add("status", status)
+        .warn();
+    // An answer of another kind shows that something lives there.
+    if (!result.answer && ++asked.unanswered >= unanswered_in_a_row) {
+        asked.unanswered = 0;
+        m_state.servers.report_failure(server, m_state.timers.now());
+        if (m_state.notices.on_server_trouble) {
+            m_state.notices.on_server_trouble(server);
+        }
+    }
+}
+
+void report_poller::note(asked_server& asked, const server_report& report) {
+    const auto now = m_state.timers.now();
+    const int known = m_state.load.load_of(report.server, now).places;
+    const bool paces = std::abs(report.pace - asked.last.pace) > notable_pace_change;
+    const bool foreign = report.requests > known + notable_foreign_requests;
+    if (paces || foreign) {
+        log_line("server report")
+            .add("server", report.server.value)
+            .add("requests", report.requests)
+            .add("known_requests", known)
+            .add("held_tokens", report.held_tokens)
+            .add("pace", report.pace)
+            .info();
+    }
+    m_state.counters.add("server_reports");
+    asked.last = report;
+    m_state.load.on_report(report, now);
+    m_on_report(report);
+}
+
+}  // namespace verbenahold::serving
--- /dev/null
+++ b/src/serving/report_poller.hpp
@@ -0,0 +1,37 @@
+// Asks model engines for their load. Each engine is asked by one daemon, which
+// passes the answer on to the others.
+#pragma once
+
+#include "gateway_state.hpp"
+
+#include <functional>
+#include <map>
+
+namespace verbenahold::serving {
+
+class report_poller {
+public:
+    // `on_report` is called with each report, after it was noted here.
+    report_poller(gateway_state& state, std::function<void(const server_report&)> on_report);
+
+    // Asks from now on until the state's timers end.
+    void start();
+
+private:
+    struct asked_server {
+        time_point next{};
+        int unanswered = 0;
+        server_report last;
+    };
+
+    void ask_due();
+    void ask(const server_entry& server);
+    void on_answer(const server_name& server, const call_result& result);
+    void note(asked_server& asked, const server_report& report);
+
+    gateway_state& m_state;
+    std::function<void(const server_report&)> m_on_report;
+    std::map<server_name, asked_server> m_asked;
+};
+
+}  // namespace verbenahold::serving
--- a/src/serving/wire_protocol.hpp
+++ b/src/serving/wire_protocol.hpp
@@ -5,6 +5,7 @@
 #include "desired_state.hpp"
 #include "http_types.hpp"
 #include "server_registry.hpp"
+#include "server_report.hpp"
 
 #include <optional>
 #include <span>
@@ -119,6 +120,11 @@
                                                       duration hold) const = 0;
     [[nodiscard]] virtual http_request release_memory(std::string_view reservation) const = 0;
 
+    // The load that a model engine tells; nothing if the answer makes no sense.
+    [[nodiscard]] virtual http_request ask_load() const = 0;
+    [[nodiscard]] virtual std::optional<server_report> read_load(const server_name& server,
+                                                                 const http_answer& answer) const = 0;
+
     // The directory and the platform's checks.
     [[nodiscard]] virtual std::optional<locate_query> read_locate(std::string_view target) const = 0;
     [[nodiscard]] virtual http_answer locate_answer(std::span<const std::string> addresses,
--- a/test/correctness/core_engine_load.cpp
+++ b/test/correctness/core_engine_load.cpp
@@ -102,3 +102,34 @@
     load.context_tokens = 100'000;
     CHECK(pass_ms(engine, load) == Approx(51 * (0.85 + 16 * 0.00425 + 100 * 0.00285)));
 }
+
+// Servers go on with work of daemons that ended; a daemon that starts then took
+// full servers for idle ones.
+TEST_CASE("a report adds what no daemon knows of, until it is out of date") {
+    engine_load load;
+    load.add({1, 1}, stream_at(one, 30), at(0ms), at(10s));
+    load.on_report({one, 9, 45'000, 1.5}, at(100ms));
+    auto seen = load.load_of(one, at(100ms));
+    CHECK(seen.places == 9);
+    CHECK(seen.context_tokens == 45'000);
+    CHECK(seen.pace == Approx(1.5));
+    CHECK(load.load_of(one, at(100ms) + report_lifetime).places == 1);
+    // Work that ended between the server's reckoning and its report is no
+    // foreign work.
+    load.on_report({one, 1, 5'000, 1}, at(1'000ms));
+    load.add({2, 1}, stream_at(one, 30), at(1'100ms), at(10s));
+    load.remove({2, 1}, at(1'900ms));
+    load.on_report({one, 2, 10'000, 1}, at(2'000ms));
+    CHECK(load.load_of(one, at(2'000ms)).places == 1);
+}
+
+TEST_CASE("the passes and the reading of a slow server take as much longer as it says") {
+    engine_figures engine;
+    engine.step_ms = 1;
+    engine.steps_per_pass = 50;
+    engine_load load;
+    load.on_report({one, 0, 0, 2}, at(0ms));
+    load.add({1, 1}, stream_at(one, 30), at(0ms), at(10s));
+    CHECK(load.load_of(one, at(0ms)).backlog_ms == Approx(60));
+    CHECK(pass_ms(engine, load.load_of(one, at(0ms))) == Approx(100));
+}
--- a/test/correctness/core_serving_limits.cpp
+++ b/test/correctness/core_serving_limits.cpp
@@ -9,6 +9,9 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <map>
+#include <set>
+#include <string>
 #include <vector>
 
 using namespace verbenahold;
@@ -115,3 +118,53 @@
     // Its requests may still be on their way.
     CHECK(view.senders_lately(at(3s)) == 1);
 }
+
+TEST_CASE("each subject is seen to by one daemon, and by another when that one falls silent") {
+    const std::vector<std::string> names{"host-1", "host-2", "host-3", "host-4", "host-5"};
+    std::map<std::string, daemon_view> views;
+    const auto hear_all = [&](time_point now, const std::string& silent) {
+        for (auto& [own, view] : views) {
+            for (const auto& name : names) {
+                daemon_status status;
+                status.name = name;
+                status.accepting = true;
+                if (name != own && name != silent) {
+                    view.on_status(status, now);
+                }
+            }
+        }
+    };
+    for (const auto& name : names) {
+        views[name];
+    }
+    const auto responsible = [&](const std::string& subject, time_point now) {
+        std::vector<std::string> found;
+        for (const auto& [own, view] : views) {
+            if (view.is_responsible(own, subject, now)) {
+                found.push_back(own);
+            }
+        }
+        return found;
+    };
+    hear_all(at(0s), "");
+    std::set<std::string> used;
+    for (int subject = 0; subject < 40; ++subject) {
+        const auto found = responsible("server-" + std::to_string(subject), at(100ms));
+        REQUIRE(found.size() == 1);
+        used.insert(found.front());
+    }
+    CHECK(used.size() == names.size());
+    hear_all(at(1s), "host-3");
+    for (int subject = 0; subject < 40; ++subject) {
+        auto found = responsible("server-" + std::to_string(subject), at(1'100ms));
+        std::erase(found, "host-3");
+        CHECK(found.size() == 1);
+    }
+}
+
+// Daemons that started in the same microsecond took each other's messages for
+// their own and placed without knowing of each other's work.
+TEST_CASE("hosts that start together have different boots, and so have two starts of one host") {
+    CHECK(boot_number("host-1", 1'000) != boot_number("host-2", 1'000));
+    CHECK(boot_number("host-1", 1'000) != boot_number("host-1", 1'001));
+}
--- a/test/correctness/serving_platform_words.cpp
+++ b/test/correctness/serving_platform_words.cpp
@@ -134,6 +134,22 @@
     CHECK_FALSE(decode("\x01\x02"));
 }
 
+TEST_CASE("a server's report is read whole or not at all") {
+    const auto read = [](int status, const char* body) {
+        return platform::decode_report(server_name("i-1"), {{status, "", {}}, body});
+    };
+    const auto report = read(200, R"({"stage":"unified","queued":1,"running":12,"kv-used":41000,"pace":1.5})");
+    REQUIRE(report);
+    CHECK(report->requests == 13);
+    CHECK(report->held_tokens == 41'000);
+    CHECK(report->pace == 1.5);
+    CHECK(read(200, R"({"queued":1,"running":12,"kv-used":41000})")->pace == 1);
+    CHECK_FALSE(read(200, R"({"queued":1,"kv-used":41000})"));
+    CHECK_FALSE(read(200, R"({"queued":"1","running":12,"kv-used":41000})"));
+    CHECK_FALSE(read(503, R"({"queued":1,"running":12,"kv-used":41000})"));
+    CHECK_FALSE(read(200, "<html>"));
+}
+
 TEST_CASE("the store's answers are told apart: rows, history that is gone, refusals and noise") {
     const auto answer = [](int status, const char* body) { return platform::decode_page({{status, "", {}}, body}); };
     const auto page = answer(200, R"({"rows":[{"table":"op","part":"","key":"config","value":"bm9kZS0x","ver":4},
--- a/test/rig/serving_rig.cpp
+++ b/test/rig/serving_rig.cpp
@@ -181,6 +181,10 @@
                              });
 }
 
+// All daemons of a rig start in the same microsecond, as hosts may that are
+// switched on together.
+constexpr std::uint64_t rig_start_us = 1'700'000'000'000'000;
+
 serving_rig::serving_rig() : store(loop) {}
 
 serving_rig::~serving_rig() {
@@ -206,7 +210,7 @@
     settings.cold = {1.5, 5};
     // Daemons find each other in the store.
     store.put("daemons", name, settings.peer_address);
-    made.running = std::make_unique<gateway>(loop, settings, m_protocol, std::hash<std::string>{}(name));
+    made.running = std::make_unique<gateway>(loop, settings, m_protocol, rig_start_us);
     std::string fault;
     if (!made.running->start(fault)) {
         throw std::runtime_error(fault);
