Listen in tests on ports that no outgoing connection takes

Seen: serving_error failed once in a normal run and once in 22 runs with "can't listen on 127.0.0.1:33089: Address already in use". Cause: the rig asked the kernel for a free port and released it; an outgoing connection of another test process took it before the daemon listened. Ports below the kernel's range for outgoing connections can't be taken that way.

--- a/test/rig/serving_rig.cpp
+++ b/test/rig/serving_rig.cpp
@@ -6,6 +6,8 @@
 
 #include <stdexcept>
 
+#include <unistd.h>
+
 namespace verbenahold::serving {
 
 namespace {
@@ -38,9 +40,25 @@
 
 }  // namespace
 
+// A loopback address that nothing listens on. The port lies below the range of
+// which the kernel takes ports for outgoing connections, where one may be taken
+// between this check and the daemon's listening.
 std::string free_loopback_address(boost::asio::io_context& loop) {
-    const tcp::acceptor probe(loop, {boost::asio::ip::make_address("127.0.0.1"), 0});
-    return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+    constexpr unsigned first_port = 10'000;
+    constexpr unsigned ports = 20'000;
+    // Test processes that run side by side begin at different ports.
+    static unsigned next = static_cast<unsigned>(::getpid()) * 97;
+    for (unsigned tries = 0; tries < ports; ++tries) {
+        const auto port = static_cast<unsigned short>(first_port + next++ % ports);
+        boost::system::error_code error;
+        tcp::acceptor probe(loop);
+        probe.open(tcp::v4(), error);
+        probe.bind({boost::asio::ip::address_v4::loopback(), port}, error);
+        if (!error) {
+            return "127.0.0.1:" + std::to_string(port);
+        }
+    }
+    throw std::runtime_error("no free loopback port");
 }
 
 scripted_server::scripted_server(boost::asio::io_context& loop, handler answer)
