Keep streams at servers that live, and count pauses as late only near their target

The prompt was not spread because a pass of 0.8 of the pause target counted as mostly late, a margin from the time when daemons did not know of each other's work.

Change: a server that told its load after the stream's last event is not taken for silent until callers leave; pauses count as late from 0.7 of their target on and surely from 1.0 (0.5 and 0.95 before).

--- a/src/routing/engine_load.cpp
+++ b/src/routing/engine_load.cpp
@@ -45,6 +45,11 @@
     return found == m_servers.end() ? time_point{} : found->second.last_activity;
 }
 
+time_point engine_load::last_sign_of_life(const server_name& server) const {
+    const auto found = m_servers.find(server);
+    return found == m_servers.end() ? time_point{} : std::max(found->second.last_activity, found->second.reported);
+}
+
 time_point engine_load::newest_read(const server_name& server) const {
     const auto found = m_servers.find(server);
     return found == m_servers.end() ? time_point{} : found->second.newest_read;
--- a/src/routing/engine_load.hpp
+++ b/src/routing/engine_load.hpp
@@ -88,6 +88,9 @@
     void note_activity(const server_name& server, time_point now);
     // When something last came from the server; the start of time if never.
     [[nodiscard]] time_point last_activity(const server_name& server) const;
+    // When something last came from the server or it told its load: whether it
+    // lives, though a long pass may keep its streams waiting.
+    [[nodiscard]] time_point last_sign_of_life(const server_name& server) const;
     // When the newest request whose reading is done was sent to the server:
     // servers read in the order of arrival, so one that was sent long before
     // is stuck.
--- a/src/routing/lateness.cpp
+++ b/src/routing/lateness.cpp
@@ -18,8 +18,8 @@
 
 // Parts of its pause target that a pass may last until the first stream is late
 // and until each one is: events also need their way to the caller.
-constexpr double first_pause_late = 0.5;
-constexpr double all_pauses_late = 0.95;
+constexpr double first_pause_late = 0.7;
+constexpr double all_pauses_late = 1.0;
 // What a millisecond of reading costs each stream beside it in any case.
 constexpr double cost_per_stream_ms = 0.0002;
 
--- a/src/serving/exchange.hpp
+++ b/src/serving/exchange.hpp
@@ -49,6 +49,8 @@
     server_name server;
     work_id work;
     time_point sent_at{};
+    // When the last event of a stream came; the start of time before the first.
+    time_point last_event_at{};
     http_answer answer;
     server_answer decoded;
     event_splitter events;
--- a/src/serving/exchange_attempts.cpp
+++ b/src/serving/exchange_attempts.cpp
@@ -23,6 +23,11 @@
 constexpr duration silent_server = std::chrono::milliseconds(1'600);
 // Requests that were sent this much later overtake only one that is stuck.
 constexpr duration overtaking_margin = std::chrono::milliseconds(400);
+// A report that came this long after an event was made after it.
+constexpr duration report_lag = std::chrono::milliseconds(300);
+// Callers leave a stream after a pause of two seconds at least; what another
+// server could add before that would come too late.
+constexpr duration longest_pass = std::chrono::milliseconds(1'900);
 constexpr duration silence_check_period = std::chrono::milliseconds(100);
 // Retry-After when the servers' memory is taken: about the time that a long
 // prompt's answer takes.
@@ -260,7 +265,8 @@
     if (events.empty()) {
         return;
     }
-    m_state.load.note_activity(m_attempt->server, m_state.timers.now());
+    m_attempt->last_event_at = m_state.timers.now();
+    m_state.load.note_activity(m_attempt->server, m_attempt->last_event_at);
     if (!m_attempt->reading_reported) {
         m_attempt->reading_reported = true;
         announce_work(work_event::read);
@@ -362,10 +368,20 @@
         return;
     }
     const auto now = m_state.timers.now();
-    // A server whose other requests go on is busy, not silent, unless they
-    // overtake this one.
+    // A server that told its load after the stream's last event is in a long
+    // pass. Reading the prompt again elsewhere would lengthen other passes.
+    if (m_service->engine && m_history.answer_begun) {
+        const auto last_event = m_state.load.last_activity(m_attempt->server);
+        const bool lives = m_state.load.last_sign_of_life(m_attempt->server) > last_event + report_lag;
+        if (lives && now - m_attempt->last_event_at < longest_pass) {
+            watch_silence(silence_check_period);
+            return;
+        }
+    }
+    // A server that shows signs of life is busy, not silent, unless other
+    // requests overtake this one.
     if (m_service->engine && !m_history.answer_begun) {
-        const bool active = now - m_state.load.last_activity(m_attempt->server) < silent_server;
+        const bool active = now - m_state.load.last_sign_of_life(m_attempt->server) < silent_server;
         const bool overtaken = m_attempt->placed.helpers.empty() &&
                                m_state.load.newest_read(m_attempt->server) > m_attempt->sent_at + overtaking_margin;
         if (active && !overtaken) {
--- a/test/correctness/core_engine_load.cpp
+++ b/test/correctness/core_engine_load.cpp
@@ -133,3 +133,17 @@
     CHECK(load.load_of(one, at(0ms)).backlog_ms == Approx(60));
     CHECK(pass_ms(engine, load.load_of(one, at(0ms))) == Approx(100));
 }
+
+// Streams of a server in a long pass were taken for dead and read again
+// elsewhere, which lengthened the passes there.
+TEST_CASE("a report is a sign of life of a server whose streams pause") {
+    engine_load load;
+    CHECK(load.last_sign_of_life(one) == time_point{});
+    load.add({1, 1}, stream_at(one, 30), at(0ms), at(10s));
+    load.note_activity(one, at(500ms));
+    load.on_report({one, 1, 5'000, 1}, at(1'200ms));
+    CHECK(load.last_activity(one) == at(500ms));
+    CHECK(load.last_sign_of_life(one) == at(1'200ms));
+    load.note_activity(one, at(1'700ms));
+    CHECK(load.last_sign_of_life(one) == at(1'700ms));
+}
