Keep copies of chosen servers, and blame the server that an answer names

Found by reading: a placement pointed into the list of servers. An entry that goes while a request waits for reserved memory left a dangling pointer, read when the request is forwarded.

An error in accepting a caller is logged and followed by a pause instead of an immediate retry. The 'ended' line names the route.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -8,7 +8,7 @@
 # unit. Files whose local names clash that way are checked one by one.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-files_per_unit=6
+files_per_unit=9
 changed=false
 [ "${1:-}" = --changed ] && changed=true
 cmake -S . -B build-lint -G Ninja -DCMAKE_DISABLE_PRECOMPILE_HEADERS=ON >/dev/null
--- a/src/routing/placer.cpp
+++ b/src/routing/placer.cpp
@@ -30,7 +30,7 @@
 }
 
 placement alone_on(const server_entry* server) {
-    return {.first = server, .helpers = {}, .part_ms = 0, .predicted = {}};
+    return {.first = {server->id, server->address}, .helpers = {}, .part_ms = 0, .predicted = {}};
 }
 
 placement place_plain(const placement_field& field) {
@@ -198,7 +198,7 @@
             slowest = std::max(slowest, part_done_ms(server, part_ms) + (place == 0 ? place_wait : 0));
             cost += harm(server, part_ms) + server_cost + m_ties[ranked[place].second];
             if (place > 0) {
-                chosen.helpers.push_back({server.server, 0});
+                chosen.helpers.push_back({{server.server->id, server.server->address}, 0});
             }
         }
         cost += plan_memory(ranked, chosen);
@@ -259,6 +259,18 @@
 
 }  // namespace
 
+const chosen_server* find_server(const placement& placed, std::string_view id_or_address) {
+    const auto is_named = [&](const chosen_server& server) {
+        return server.id.value == id_or_address || server.address == id_or_address;
+    };
+    if (is_named(placed.first)) {
+        return &placed.first;
+    }
+    const auto found = std::find_if(placed.helpers.begin(), placed.helpers.end(),
+                                    [&](const reading_helper& helper) { return is_named(helper.server); });
+    return found == placed.helpers.end() ? nullptr : &found->server;
+}
+
 placement random_policy::choose(const placement_field& field) const {
     return alone_on(field.servers[draw(field.random, field.servers.size())]);
 }
--- a/src/routing/placer.hpp
+++ b/src/routing/placer.hpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <random>
 #include <span>
+#include <string>
 #include <string_view>
 #include <variant>
 #include <vector>
@@ -32,15 +33,22 @@
     std::span<const server_name> excluded;
 };
 
+// A server that was chosen. A copy, since its entry may go while the request
+// is under way.
+struct chosen_server {
+    server_name id;
+    std::string address;
+};
+
 // A server that reads a part of a prompt for another one.
 struct reading_helper {
-    const server_entry* server = nullptr;
+    chosen_server server;
     // Tokens of the prompt whose memory is to be reserved there; 0 for none.
     std::int64_t reserved_tokens = 0;
 };
 
 struct placement {
-    const server_entry* first = nullptr;
+    chosen_server first;
     std::vector<reading_helper> helpers;
     // Milliseconds that each of them reads.
     double part_ms = 0;
@@ -48,6 +56,9 @@
     duration predicted{};
 };
 
+// The server of a placement that has this id or address; null if none has.
+const chosen_server* find_server(const placement& placed, std::string_view id_or_address);
+
 // No server can take the request; another try pays after `retry_after`.
 struct no_placement {
     std::string_view reason;
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -187,6 +187,7 @@
     m_state.counters.add(std::string("requests_") + std::string(outcome));
     log_line line("ended");
     line.add("request", m_request.attempt_id)
+        .add("route", m_route != nullptr ? std::string_view(m_route->name) : std::string_view())
         .add("outcome", outcome)
         .add("status", status)
         .add("reason", reason)
--- a/src/serving/exchange.hpp
+++ b/src/serving/exchange.hpp
@@ -95,6 +95,8 @@
     void on_deadline();
     void watch_silence(duration limit);
 
+    // The server that spoiled the current attempt, as far as it is known.
+    [[nodiscard]] server_name server_at_fault() const;
     void conclude(const attempt_outcome& outcome, std::string_view reason);
     void deliver(const http_answer& answer);
     void fail(int status, std::string_view reason, std::optional<duration> retry_after = std::nullopt);
--- a/src/serving/exchange_attempts.cpp
+++ b/src/serving/exchange_attempts.cpp
@@ -45,7 +45,7 @@
 std::string names_of(std::span<const reading_helper> helpers) {
     std::string names;
     for (const auto& helper : helpers) {
-        names.append(names.empty() ? "" : ",").append(helper.server->id.value);
+        names.append(names.empty() ? "" : ",").append(helper.server.id.value);
     }
     return names;
 }
@@ -56,7 +56,7 @@
     m_waiting_since.reset();
     m_attempt.emplace();
     m_attempt->placed = chosen;
-    m_attempt->server = chosen.first->id;
+    m_attempt->server = chosen.first.id;
     m_attempt->sent_at = m_state.timers.now();
     // Each attempt is work of its own; the low bits count them.
     m_attempt->work = {m_state.boot, (m_number << attempt_bits) | (m_attempts_begun++ & attempt_mask)};
@@ -73,7 +73,7 @@
     std::vector<memory_reservation::part> parts;
     for (const auto& helper : m_attempt->placed.helpers) {
         if (helper.reserved_tokens > 0) {
-            parts.push_back({helper.server->address, helper.reserved_tokens, {}});
+            parts.push_back({helper.server.address, helper.reserved_tokens, {}});
         }
     }
     log_line("reserving memory")
@@ -111,9 +111,9 @@
     }
     added.last_event_id = m_last_event;
     for (const auto& helper : m_attempt->placed.helpers) {
-        added.helpers.push_back({helper.server->address, {}});
+        added.helpers.push_back({helper.server.address, {}});
         if (helper.reserved_tokens > 0) {
-            added.helpers.back().reservation = m_attempt->memory->name_at(helper.server->address);
+            added.helpers.back().reservation = m_attempt->memory->name_at(helper.server.address);
         }
     }
     return added;
@@ -127,7 +127,7 @@
     m_attempt->sent_at = m_state.timers.now();
     m_state.pacer.on_sent(m_attempt->server, m_attempt->sent_at);
     m_attempt->connection =
-        m_state.pool.take(chosen.first->address, once ? idle_time_for_single_runs : default_idle_time);
+        m_state.pool.take(chosen.first.address, once ? idle_time_for_single_runs : default_idle_time);
     log_line("forwarded")
         .add("request", m_request.attempt_id)
         .add("server", m_attempt->server.value)
@@ -168,13 +168,8 @@
             {m_attempt->server, placed.part_ms, context, true, m_route->pause_target, m_route->latency_target, weight});
         for (const auto& helper : placed.helpers) {
             reserved += helper.reserved_tokens;
-            update.items.push_back({helper.server->id,
-                                    placed.part_ms,
-                                    helper.reserved_tokens,
-                                    false,
-                                    {},
-                                    m_route->latency_target,
-                                    weight});
+            update.items.push_back(
+                {helper.server.id, placed.part_ms, helper.reserved_tokens, false, {}, m_route->latency_target, weight});
         }
         update.items.front().context_tokens -= std::min(reserved, context);
         for (const auto& item : update.items) {
@@ -392,6 +387,12 @@
     conclude(attempt_lost{}, "the server is silent");
 }
 
+server_name exchange::server_at_fault() const {
+    const auto& named = m_attempt->decoded.server_at_fault;
+    const auto* found = named.empty() ? nullptr : find_server(m_attempt->placed, named);
+    return found != nullptr ? found->id : m_attempt->server;
+}
+
 void exchange::conclude(const attempt_outcome& outcome, std::string_view reason) {
     const auto now = m_state.timers.now();
     const auto server = m_attempt->server;
@@ -404,18 +405,22 @@
     const bool speaks_against_server = std::holds_alternative<attempt_lost>(outcome) ||
                                        std::holds_alternative<attempt_not_sent>(outcome) ||
                                        m_attempt->decoded.wrong_server;
-    if (speaks_against_server) {
-        m_state.servers.report_failure(server, now);
+    // The server may name another one, of those that read for it.
+    const auto at_fault = server_at_fault();
+    const bool other_at_fault = at_fault != server;
+    if (speaks_against_server || other_at_fault) {
+        m_state.servers.report_failure(at_fault, now);
     }
     // Nobody else needs to find out that it can't be reached.
-    if (std::holds_alternative<attempt_not_sent>(outcome) && m_state.notices.on_server_trouble) {
-        m_state.notices.on_server_trouble(server);
+    if ((std::holds_alternative<attempt_not_sent>(outcome) || other_at_fault) && m_state.notices.on_server_trouble) {
+        m_state.notices.on_server_trouble(at_fault);
     }
     m_state.counters.add("attempts_failed");
     const auto decision = decide_next(*m_route, m_history, outcome);
     log_line("attempt failed")
         .add("request", m_request.attempt_id)
         .add("server", server.value)
+        .add("at_fault", at_fault.value)
         .add("reason", reason)
         .add("status", failure.head.status)
         .add("after_ms", now - m_attempt->sent_at)
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -31,6 +31,9 @@
 constexpr duration listing_period = std::chrono::seconds(12);
 // Pause before the own row is written again after a failure.
 constexpr duration announce_pause = std::chrono::milliseconds(500);
+// Pause after a caller could not be accepted: without descriptors or memory,
+// trying at once would take the whole processor.
+constexpr duration accept_pause = std::chrono::milliseconds(50);
 constexpr duration housekeeping_period = std::chrono::milliseconds(250);
 // After the request to stop, connections are still accepted for this long:
 // callers keep the directory's earlier answers.
@@ -172,11 +175,14 @@
         if (error == boost::asio::error::operation_aborted) {
             return;
         }
-        if (!error) {
-            const auto session = std::make_shared<front_session>(m_state, std::move(socket));
-            m_sessions.push_back(session);
-            session->start();
+        if (error) {
+            log_line("caller not accepted").add("reason", error.message()).warn();
+            m_state.timers.after(accept_pause, [this] { accept(); });
+            return;
         }
+        const auto session = std::make_shared<front_session>(m_state, std::move(socket));
+        m_sessions.push_back(session);
+        session->start();
         accept();
     });
 }
