Explain one request from the daemons' logs: verbenactl explain

Reads the logs of several daemons, prints the request's lines in order of time and the cause in one sentence: what its server was given meanwhile, what else failed there, whether the server's entry went. Tested on recorded lines. main() files are linted as units of their own, since they clash in a joint unit.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -5,10 +5,11 @@
 #
 # Most of clang-tidy's time goes into the library headers of each file, so
 # files with the same flags are checked several at once, as one translation
-# unit. Files whose local names clash that way are checked one by one.
+# unit. Files with a main() are units of their own; other files whose local names
+# clash are checked one by one.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-files_per_unit=9
+files_per_unit=6
 changed=false
 [ "${1:-}" = --changed ] && changed=true
 cmake -S . -B build-lint -G Ninja -DCMAKE_DISABLE_PRECOMPILE_HEADERS=ON >/dev/null
@@ -28,11 +29,12 @@
   mkdir -p "$units"
   { list_sources || true; } | { grep -E '^(src|apps|platform)/.*\.cpp$' || true; } |
     jq -R -s --arg top "$PWD/" 'split("\n") | map(select(. != "") | $top + .)' >"$units/files.json"
-  jq --slurpfile files "$units/files.json" --arg units "$units" --argjson size "$files_per_unit" '
+  jq --slurpfile files "$units/files.json" --arg units "$units" --argjson size "$files_per_unit" \
+    --arg mains '/(apps|src/programs)/|/main.cpp$' '
     map(select(.file as $file | $files[0] | index($file)))
     | unique_by(.file)
     | map(. + {flags: (.command | split(" -o ")[0])})
-    | group_by(.flags)
+    | group_by([.flags, if .file | test($mains) then .file else "" end])
     | map([range(0; length; $size) as $from | .[$from:$from + $size]]) | add // []
     | to_entries
     | map({directory: .value[0].directory, sources: (.value | map(.file)),
--- a/src/io/operator_commands.cpp
+++ b/src/io/operator_commands.cpp
@@ -6,15 +6,18 @@
 #include <QSslConfiguration>
 #include <QThread>
 
+#include <algorithm>
 #include <istream>
 #include <iterator>
 #include <limits>
 #include <optional>
 #include <ostream>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "explain_command.hpp"
 #include "operator_client.hpp"
 #include "record_printer.hpp"
 #include "settings.hpp"
@@ -38,6 +41,9 @@
                      routing_intention or availability_zone
   watch              print changes as they are accepted, until interrupted
   status             show versions, hosts, leases and open orders
+  explain ID [FILE...]
+                     tell from the daemons' logs what happened to the request
+                     of this attempt id, and why ("-", no file: standard input)
   zone out ZONE      take an availability zone out of service
   zone in ZONE       take it back
 
@@ -399,6 +405,12 @@
 }  // namespace
 
 int run_operator_command(int argc, char** argv, std::istream& input, std::ostream& output, std::ostream& errors) {
+    // Logs are read without a control process, so none has to be named.
+    const std::vector<std::string> words(argv + std::min(argc, 1), argv + argc);
+    if (words.size() >= 2 && words[0] == "explain") {
+        const bool found = explain_request(words[1], std::span(words).subspan(2), input, output, errors);
+        return static_cast<int>(found ? operator_exit::ok : operator_exit::invalid);
+    }
     const auto options = operator_options();
     const auto chosen = settings::read("verbenactl", purpose, options, argc, argv);
     if (!chosen) {
