--- a/src/routing/request_story.cpp
+++ b/src/routing/request_story.cpp
@@ -242,7 +242,7 @@
                 ' ' + line.event;
         for (const auto& [name, value] : line.fields) {
             if (name != "request" && !value.empty()) {
-                text += ' ' + name + '=' + value;
+                text.append(" ").append(name).append("=").append(value);
             }
         }
         text += '\n';
