Reload limits from a changed settings file; check the metrics page against the daemon

A changed settings file is taken over on SIGHUP and, within 2 s, without one: grace, repeats, the cold bound, holds and the directory's lifetime change in place, other differences are named and hold from the next start. Counters are served from the start as zero, and the name of one no longer holds a space.

--- a/src/routing/repeat_budget.hpp
+++ b/src/routing/repeat_budget.hpp
@@ -26,6 +26,7 @@
 public:
     explicit repeat_budget(repeat_limits limits) : m_limits(limits) {}
 
+    void set_limits(repeat_limits limits) { m_limits = limits; }
     void on_request(const service_name& service, time_point now);
     // Takes one repeat if the budget has one left.
     bool take(const service_name& service, int daemons, time_point now);
--- a/src/routing/send_pacer.hpp
+++ b/src/routing/send_pacer.hpp
@@ -26,6 +26,7 @@
 public:
     explicit send_pacer(cold_bound bound) : m_bound(bound) {}
 
+    void set_bound(cold_bound bound) { m_bound = bound; }
     // True if another request may be sent to the server now. `daemons` is the
     // number of daemons that may send, this one included.
     bool may_send(const server_name& server, const service& of, int daemons, time_point now);
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -184,7 +184,9 @@
     end_attempt();
     m_sink = nullptr;
     const auto took = m_state.timers.now() - m_received_at;
-    m_state.counters.add(std::string("requests_") + std::string(outcome));
+    auto counter = "requests_" + std::string(outcome);
+    std::replace(counter.begin(), counter.end(), ' ', '_');
+    m_state.counters.add(counter);
     log_line line("ended");
     line.add("request", m_request.attempt_id)
         .add("route", m_route != nullptr ? std::string_view(m_route->name) : std::string_view())
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -7,6 +7,7 @@
 #include <QByteArray>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <csignal>
 
@@ -31,6 +32,8 @@
 constexpr duration listing_period = std::chrono::seconds(12);
 // Pause before the own row is written again after a failure.
 constexpr duration announce_pause = std::chrono::milliseconds(500);
+// The settings file may change without a signal.
+constexpr duration settings_check_period = std::chrono::seconds(2);
 // Pause after a caller could not be accepted: without descriptors or memory,
 // trying at once would take the whole processor.
 constexpr duration accept_pause = std::chrono::milliseconds(50);
@@ -43,6 +46,10 @@
 constexpr duration stop_check_period = std::chrono::milliseconds(50);
 // Time limit of a call to another daemon.
 constexpr duration peer_call_limit = std::chrono::milliseconds(800);
+// Counters that are served from the start, as zero.
+constexpr std::array<std::string_view, 10> counter_names{
+    "requests_received",  "requests_answered", "requests_refused", "requests_failed",   "requests_cut_off",
+    "requests_cancelled", "attempts_failed",   "server_reports",   "datagrams_ignored", "datagrams_unsent"};
 constexpr std::string_view changes_path = "/v1/changes";
 // Daemons ask for changes within this time after they hear of them.
 constexpr duration catch_up_spread = std::chrono::milliseconds(120);
@@ -79,8 +86,9 @@
 }  // namespace
 
 gateway::gateway(boost::asio::io_context& loop, const serving_settings& settings, const wire_protocol& protocol,
-                 std::uint64_t started_unix_us)
+                 std::uint64_t started_unix_us, std::function<settings_reading()> read_again)
     : m_state(settings, protocol, loop, boot_number(settings.host.value, started_unix_us)),
+      m_read_again(std::move(read_again)),
       m_acceptor(loop),
       m_signals(loop, SIGTERM, SIGINT, SIGHUP),
       m_peers(m_state, [this] { return own_status(); }),
@@ -140,6 +148,9 @@
         // Callers are served all the same.
         log_line("metrics not served").add("reason", metrics_fault).error();
     }
+    for (const auto name : counter_names) {
+        m_state.counters.add(name, 0);
+    }
     accept();
     wait_for_signals();
     m_operator_rows.start();
@@ -155,6 +166,7 @@
     });
     m_state.timers.every(reader_check_period, [this] { choose_store_reader(); });
     m_reports.start();
+    m_state.timers.every(settings_check_period, [this] { reload(); });
     m_state.timers.every(heartbeat_period, [this] { heartbeat(); });
     m_state.timers.every(housekeeping_period, [this] {
         m_state.pool.expire();
@@ -453,7 +465,7 @@
     }
     std::shuffle(chosen.begin(), chosen.end(), m_state.random);
     chosen.resize(std::min(chosen.size(), most_addresses));
-    return m_state.wire.locate_answer(chosen, locate_lifetime);
+    return m_state.wire.locate_answer(chosen, std::min(locate_lifetime, m_state.settings.longest_locate_lifetime));
 }
 
 http_answer gateway::answer_metrics(const http_request& /*request*/) {
@@ -472,9 +484,8 @@
             return;
         }
         if (signal == SIGHUP) {
-            // No setting can change while the process runs; a new file holds
-            // from the next start.
-            log_line("reload requested").add("outcome", "settings hold from the next start").info();
+            log_line("reload requested").info();
+            reload();
         } else {
             begin_stop();
         }
@@ -482,6 +493,28 @@
     });
 }
 
+void gateway::reload() {
+    if (!m_read_again) {
+        return;
+    }
+    const auto reading = m_read_again();
+    if (const auto* unreadable = std::get_if<settings_unreadable>(&reading)) {
+        log_line("settings not reloaded").add("reason", unreadable->reason).error();
+        return;
+    }
+    const auto* fresh = std::get_if<serving_settings>(&reading);
+    if (fresh == nullptr) {
+        return;
+    }
+    std::string held_back;
+    for (const auto& name : apply_reload(m_state.settings, *fresh)) {
+        held_back.append(held_back.empty() ? "" : ",").append(name);
+    }
+    m_state.repeats.set_limits(m_state.settings.repeats);
+    m_state.pacer.set_bound(m_state.settings.cold);
+    log_line("settings reloaded").add("from_next_start", held_back).info();
+}
+
 void gateway::begin_stop() {
     if (m_stop_began) {
         return;
--- a/src/serving/gateway.hpp
+++ b/src/serving/gateway.hpp
@@ -10,6 +10,7 @@
 
 #include <boost/asio/signal_set.hpp>
 
+#include <functional>
 #include <optional>
 #include <vector>
 
@@ -20,8 +21,9 @@
 class gateway {
 public:
     // `started_unix_us` is the time of day at the start, in microseconds.
+    // `read_again` reads the settings once more; without it they never change.
     gateway(boost::asio::io_context& loop, const serving_settings& settings, const wire_protocol& protocol,
-            std::uint64_t started_unix_us);
+            std::uint64_t started_unix_us, std::function<settings_reading()> read_again = {});
     ~gateway();
     gateway(const gateway&) = delete;
     gateway& operator=(const gateway&) = delete;
@@ -45,6 +47,7 @@
     [[nodiscard]] bool is_ahead(const daemon_status& peer) const;
     void catch_up();
     void choose_store_reader();
+    void reload();
     void wait_for_signals();
     void begin_stop();
     void continue_stop();
@@ -57,6 +60,7 @@
     [[nodiscard]] http_answer answer_peer(const http_request& request);
 
     gateway_state m_state;
+    std::function<settings_reading()> m_read_again;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::signal_set m_signals;
     peer_link m_peers;
--- a/src/serving/gateway_state.hpp
+++ b/src/serving/gateway_state.hpp
@@ -57,7 +57,7 @@
           random(boot_of_daemon),
           boot(boot_of_daemon) {}
 
-    const serving_settings& settings;
+    serving_settings settings;
     const wire_protocol& wire;
     boost::asio::io_context& loop;
     loop_timers timers;
--- a/src/serving/serving_settings.hpp
+++ b/src/serving/serving_settings.hpp
@@ -7,6 +7,8 @@
 #include "verbenahold/types.hpp"
 
 #include <string>
+#include <variant>
+#include <vector>
 
 namespace verbenahold::serving {
 
@@ -34,4 +36,15 @@
     duration longest_locate_lifetime = std::chrono::seconds(5);
 };
 
+// What reading the settings again found.
+struct settings_unchanged {};
+struct settings_unreadable {
+    std::string reason;
+};
+using settings_reading = std::variant<settings_unchanged, settings_unreadable, serving_settings>;
+
+// Takes over the limits of `fresh`, which may change while the daemon runs.
+// Returns the names of other settings that differ and hold from the next start.
+std::vector<std::string> apply_reload(serving_settings& current, const serving_settings& fresh);
+
 }  // namespace verbenahold::serving
--- a/test/correctness/core_serving_limits.cpp
+++ b/test/correctness/core_serving_limits.cpp
@@ -168,3 +168,17 @@
     CHECK(boot_number("host-1", 1'000) != boot_number("host-2", 1'000));
     CHECK(boot_number("host-1", 1'000) != boot_number("host-1", 1'001));
 }
+
+TEST_CASE("new limits hold for what is asked after them") {
+    repeat_budget budget({0.2, 100, 10s});
+    const service_name service("llm");
+    CHECK(budget.take(service, 1, at(0s)));
+    budget.set_limits({0, 0, 10s});
+    CHECK_FALSE(budget.take(service, 1, at(1s)));
+    send_pacer pacer({1.5, 5});
+    const auto cold = cold_service();
+    CHECK(pacer.may_send(server_name("one"), cold, 1, at(0s)));
+    pacer.on_sent(server_name("one"), at(0s));
+    pacer.set_bound({0, 0});
+    CHECK_FALSE(pacer.may_send(server_name("one"), cold, 1, at(100ms)));
+}
--- a/test/correctness/serving_platform_words.cpp
+++ b/test/correctness/serving_platform_words.cpp
@@ -186,3 +186,21 @@
     CHECK(fault_of("[7340,7355]", "7340") == "internal-ports");
     CHECK(fault_of("\"provider\"", "\"store\"") == "provider");
 }
+
+// A settings file may change while the daemon runs, with a signal or without.
+TEST_CASE("limits change by a reload, addresses only by a start") {
+    serving_settings current;
+    current.front_address = "10.0.0.1:1";
+    auto fresh = current;
+    fresh.repeats = {0.1, 50, std::chrono::seconds(5)};
+    fresh.cold = {1.2, 3};
+    fresh.stop_grace = std::chrono::seconds(4);
+    CHECK(apply_reload(current, fresh).empty());
+    CHECK(current.repeats.allowance == 50);
+    CHECK(current.cold.slack == 3);
+    CHECK(current.stop_grace == std::chrono::seconds(4));
+    fresh.front_address = "10.0.0.1:2";
+    fresh.zone = zone_name("b");
+    CHECK(apply_reload(current, fresh) == std::vector<std::string>{"zone", "front"});
+    CHECK(current.front_address == "10.0.0.1:1");
+}
--- a/test/rig/serving_rig.cpp
+++ b/test/rig/serving_rig.cpp
@@ -223,6 +223,7 @@
     settings.ready_address = free_loopback_address(loop);
     settings.directory_address = free_loopback_address(loop);
     settings.peer_address = free_loopback_address(loop);
+    settings.metrics_address = free_loopback_address(loop);
     settings.store_address = store_address.empty() ? store.address() : store_address;
     settings.repeats = {0.2, 100, 10s};
     settings.cold = {1.5, 5};
@@ -265,7 +266,11 @@
 }
 
 scripted_caller& serving_rig::call(const std::string& daemon, const std::string& bytes) {
-    m_callers.push_back(std::make_unique<scripted_caller>(loop, settings(daemon).front_address));
+    return call_address(settings(daemon).front_address, bytes);
+}
+
+scripted_caller& serving_rig::call_address(const std::string& address, const std::string& bytes) {
+    m_callers.push_back(std::make_unique<scripted_caller>(loop, address));
     m_callers.back()->send(bytes);
     return *m_callers.back();
 }
--- a/test/rig/serving_rig.hpp
+++ b/test/rig/serving_rig.hpp
@@ -129,6 +129,7 @@
     // /stream/ of host h.example and the key key-1.
     void put_desired_state(int version = 1);
     scripted_caller& call(const std::string& daemon, const std::string& bytes);
+    scripted_caller& call_address(const std::string& address, const std::string& bytes);
     // Runs the loop until the condition holds; false after five seconds.
     bool run_until(const std::function<bool()>& condition);
     // Runs until the daemon is ready and knows so many servers.
