--- a/src/routing/engine_load.cpp
+++ b/src/routing/engine_load.cpp
@@ -80,7 +80,7 @@
     auto& server = m_servers[report.server];
     server.foreign_requests = std::max(0, report.requests - server.most_places);
     server.foreign_tokens = std::max<std::int64_t>(0, report.held_tokens - server.most_tokens);
-    server.pace = std::max(1.0, report.pace);
+    server.pace = std::clamp(report.pace, 1.0, largest_pace);
     server.reported = now;
     server.most_places = server.load.places;
     server.most_tokens = server.load.context_tokens;
--- a/src/routing/server_report.hpp
+++ b/src/routing/server_report.hpp
@@ -17,6 +17,9 @@
     double pace = 1;
 };
 
+// A report that claims more makes no sense: nothing would be placed there.
+inline constexpr double largest_pace = 100;
+
 // Each engine is asked once in this period, by one daemon for all. A probe of
 // each engine a second costs the platform little beside its requests, and a
 // restarted daemon places blindly for no longer.
--- a/test/correctness/core_engine_load.cpp
+++ b/test/correctness/core_engine_load.cpp
@@ -123,6 +123,17 @@
     CHECK(load.load_of(one, at(2'000ms)).places == 1);
 }
 
+TEST_CASE("a report that makes no sense leaves times that can be reckoned with") {
+    engine_load load;
+    load.on_report({one, -5, -1, 1e300}, at(0ms));
+    load.add({1, 1}, stream_at(one, 30), at(0ms), at(10s));
+    const auto seen = load.load_of(one, at(0ms));
+    CHECK(seen.places == 1);
+    CHECK(seen.context_tokens == 5'000);
+    CHECK(seen.pace == Approx(largest_pace));
+    CHECK(seen.backlog_ms == Approx(30 * largest_pace));
+}
+
 TEST_CASE("the passes and the reading of a slow server take as much longer as it says") {
     engine_figures engine;
     engine.step_ms = 1;
