--- a/test/performance/core_ownership_update.cpp
+++ b/test/performance/core_ownership_update.cpp
@@ -9,6 +9,8 @@
 #include <chrono>
 #include <iostream>
 
+#include <time.h>
+
 using namespace verbenahold;
 using namespace verbenahold::testing;
 using namespace std::chrono_literals;
@@ -20,6 +22,14 @@
 constexpr std::size_t zones = 9;
 constexpr double limit_ms = 1;
 
+// Processor time of this thread: while others use the machine too, the time of
+// day also counts what the thread waits for a core.
+double processor_ms() {
+    timespec spent{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &spent);
+    return static_cast<double>(spent.tv_sec) * 1e3 + static_cast<double>(spent.tv_nsec) / 1e6;
+}
+
 zone_name zone_of(std::size_t number) {
     return zone_name("zone-" + std::to_string(number % zones));
 }
@@ -56,14 +66,13 @@
             // A restart of the daemon that has just left.
             members.on_probe(settings_for(number - 1, 2, 1).self, {}, now, out);
         }
-        const auto begin = std::chrono::steady_clock::now();
+        const double begin = processor_ms();
         owners.update(members, {});
-        const std::chrono::duration<double, std::milli> taken = std::chrono::steady_clock::now() - begin;
-        times.push_back(taken.count());
+        times.push_back(processor_ms() - begin);
     }
     std::ranges::sort(times);
     std::cout << "ownership update: median " << times[50] << " ms, p90 " << times[90] << " ms, largest " << times.back()
               << " ms\n";
-    // The p90 leaves out the noise of a machine that others use too.
+    // The p90 leaves out caches that others have emptied.
     REQUIRE(times[90] < limit_ms);
 }
