Read answers whose head comes alone, and give up endless bytes that are no body

Cause: body_limit(boost::none) makes Beast of Boost 1.74 compare the length with an empty optional, which any length exceeds. The error was set after the parser had gone on to the body, so an answer in one read passed and one whose head came in a read of its own failed: a sound answer of a backend server became a 502. Change: a numeric limit. The parser also counts bytes in a row that add nothing to a body (interim answers, headers, extensions of chunks, trailers) and gives up after 128 KiB; extensions and trailers without end grew the process's memory until the caller's deadline.

--- a/src/serving/answer_parser.cpp
+++ b/src/serving/answer_parser.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/asio/buffer.hpp>
 
+#include <limits>
+
 namespace verbenahold::serving {
 
 namespace http = boost::beast::http;
@@ -10,6 +12,9 @@
 
 // Limit for the header of an answer; servers send smaller ones.
 constexpr std::uint32_t max_answer_header_bytes = 64 * 1024;
+// Limit for bytes in a row that add nothing to a body: interim answers, headers,
+// extensions of chunks and trailers, any of which may come without end.
+constexpr std::size_t max_bytes_without_body = 2 * std::size_t{max_answer_header_bytes};
 
 }  // namespace
 
@@ -21,7 +26,8 @@
     m_parser.emplace();
     m_parser->eager(true);
     m_parser->header_limit(max_answer_header_bytes);
-    m_parser->body_limit(boost::none);
+    // Not boost::none: Boost 1.74 takes any length to be over that limit.
+    m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
     if (m_head_request) {
         m_parser->skip(true);
     }
@@ -32,6 +38,7 @@
 void answer_parser::restart(bool answers_head_request) {
     m_head_request = answers_head_request;
     m_fault.clear();
+    m_bytes_without_body = 0;
     make_parser();
 }
 
@@ -49,18 +56,26 @@
 answer_parser::progress answer_parser::parse() {
     while (!m_input.empty()) {
         boost::system::error_code error;
+        const auto body_before = m_parser->get().body().size();
         const auto used = m_parser->put(boost::asio::buffer(m_input), error);
         m_input.erase(0, used);
+        m_bytes_without_body = m_parser->get().body().size() > body_before ? 0 : m_bytes_without_body + used;
         if (error && error != http::error::need_more) {
             m_fault = error.message();
             return progress::broken;
         }
+        // 1xx answers have no body and precede the final one.
+        const bool is_interim = m_parser->is_header_done() && m_parser->get().result_int() < 200;
+        const bool is_final = m_parser->is_done() && !is_interim;
+        if (!is_final && m_bytes_without_body + m_input.size() > max_bytes_without_body) {
+            m_fault = "too many bytes that are no part of a body";
+            return progress::broken;
+        }
+        if (is_interim) {
+            make_parser();
+            continue;
+        }
         if (!m_has_head && m_parser->is_header_done()) {
-            // Skips 1xx answers, which have no body and precede the final one.
-            if (m_parser->get().result_int() < 200) {
-                make_parser();
-                continue;
-            }
             store_head();
         }
         if (m_parser->is_done()) {
--- a/src/serving/answer_parser.hpp
+++ b/src/serving/answer_parser.hpp
@@ -53,6 +53,8 @@
     std::string m_input;
     http_answer_head m_head;
     std::string m_fault;
+    // Bytes in a row that added nothing to a body.
+    std::size_t m_bytes_without_body = 0;
     bool m_head_request = false;
     bool m_has_head = false;
     bool m_begun = false;
--- a/test/correctness/serving_messages.cpp
+++ b/test/correctness/serving_messages.cpp
@@ -109,3 +109,48 @@
     CHECK(parser.head().status == 204);
     CHECK(parser.has_surplus());
 }
+
+TEST_CASE("an answer is complete however its bytes are cut") {
+    const std::vector<std::string> answers{
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n"};
+    for (const auto& bytes : answers) {
+        for (std::size_t cut = 1; cut <= bytes.size(); ++cut) {
+            answer_parser parser;
+            parser.restart(false);
+            auto progress = answer_parser::progress::incomplete;
+            std::string body;
+            for (std::size_t begin = 0; begin < bytes.size() && progress != answer_parser::progress::broken;
+                 begin += cut) {
+                progress = parser.feed(std::string_view(bytes).substr(begin, cut));
+                body += parser.take_body();
+            }
+            INFO("cut at " << cut << ": " << parser.fault());
+            CHECK(progress == answer_parser::progress::complete);
+            CHECK(body == "hello");
+        }
+    }
+}
+
+TEST_CASE("bytes that never become an answer are given up within a bounded number of them") {
+    constexpr std::size_t bound = 256 * 1024;
+    const std::vector<std::pair<std::string, std::string>> endless{
+        {"", "no line ends in these bytes "},
+        {"HTTP/1.1 200 OK\r\n", "Name: value\r\n"},
+        {"HTTP/1.1 200 OK\r\nName: ", "value without end "},
+        {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;name=", "an extension without end "},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "Name: value\r\n"}};
+    for (const auto& [begin, repeated] : endless) {
+        answer_parser parser;
+        auto progress = parser.feed(begin);
+        std::size_t fed = begin.size();
+        while (progress == answer_parser::progress::incomplete && fed < bound) {
+            progress = parser.feed(repeated);
+            fed += repeated.size();
+            parser.take_body();
+        }
+        INFO(begin << repeated);
+        CHECK(progress == answer_parser::progress::broken);
+    }
+}
