--- a/src/routing/daemon_view.cpp
+++ b/src/routing/daemon_view.cpp
@@ -16,13 +16,37 @@
     return XXH64(host.data(), host.size(), started_unix_us);
 }
 
-bool daemon_view::on_status(const daemon_status& status, time_point now) {
-    auto& known = m_alive[status.name];
+bool daemon_view::take_in(const daemon_status& status, time_point heard_at, bool is_relayed) {
+    const auto [found, inserted] = m_alive.try_emplace(status.name);
+    auto& known = found->second;
+    if (!inserted && heard_at < known.last_heard) {
+        return false;
+    }
     const bool is_new = known.status.boot != status.boot;
-    known = {status, now};
+    if (inserted || is_new || known.status.active != status.active || known.status.shares_work != status.shares_work) {
+        ++m_revision;
+    }
+    known = {status, heard_at, is_relayed};
+    m_records[status.name] = {status.name, status.peer_address, status.zone, status.cores};
     return is_new;
 }
 
+void daemon_view::on_record(const daemon_record& record) {
+    // A heartbeat says more than the row, and is newer.
+    if (!m_alive.contains(record.name)) {
+        m_records[record.name] = record;
+        ++m_revision;
+    }
+}
+
+bool daemon_view::on_status(const daemon_status& status, time_point now) {
+    return take_in(status, now, false);
+}
+
+bool daemon_view::on_relayed_status(const daemon_status& status, time_point heard_at) {
+    return take_in(status, heard_at, true);
+}
+
 void daemon_view::on_leaving(const std::string& name) {
     const auto found = m_alive.find(name);
     if (found != m_alive.end()) {
@@ -33,9 +57,11 @@
 std::vector<std::uint64_t> daemon_view::remove_dead(time_point now) {
     std::vector<std::uint64_t> dead;
     std::erase_if(m_alive, [&](const auto& entry) {
-        if (now - entry.second.last_heard < daemon_timeout) {
+        const auto timeout = entry.second.status.shares_work ? daemon_timeout : standby_timeout;
+        if (now - entry.second.last_heard < timeout) {
             return false;
         }
+        ++m_revision;
         dead.push_back(entry.second.status.boot);
         return true;
     });
@@ -57,7 +83,8 @@
     const auto own_rank = rank_of(own_name);
     std::size_t lower_ranked = 0;
     for (const auto& [name, known] : m_alive) {
-        const bool is_candidate = known.status.store_in_reach && now - known.last_heard < store_reader_timeout;
+        const bool is_candidate =
+            known.status.active && known.status.store_in_reach && now - known.last_heard < store_reader_timeout;
         lower_ranked += is_candidate && rank_of(name) < own_rank ? 1 : 0;
     }
     return lower_ranked < store_reader_count;
@@ -70,10 +97,15 @@
     const auto own_score = score_of(own_name);
     return std::none_of(m_alive.begin(), m_alive.end(), [&](const auto& entry) {
         const auto& [name, known] = entry;
-        return known.status.accepting && now - known.last_heard < store_reader_timeout && score_of(name) > own_score;
+        return known.status.active && known.status.accepting && now - known.last_heard < store_reader_timeout && score_of(name) > own_score;
     });
 }
 
+int daemon_view::senders() const {
+    return 1 + static_cast<int>(std::count_if(m_alive.begin(), m_alive.end(),
+                                              [](const auto& entry) { return entry.second.status.shares_work; }));
+}
+
 int daemon_view::recent_max_senders(time_point now) {
     if (senders() >= m_peak || now - m_peak_at > peak_retention) {
         m_peak = senders();
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -94,7 +94,7 @@
     wanted.time_left = time_left();
     wanted.answer_begun = m_history.answer_begun;
     wanted.excluded = m_tried_servers;
-    const int daemons = m_state.daemons.recent_max_senders(now);
+    const int daemons = m_state.sharing_daemons();
     const auto may_send = [&](const server_entry& server) {
         return m_state.pacer.may_send(server.id, *m_service, daemons, now);
     };
--- a/src/serving/exchange_attempts.cpp
+++ b/src/serving/exchange_attempts.cpp
@@ -437,7 +437,7 @@
         .warn();
     end_attempt();
     if (const auto* elsewhere = std::get_if<try_another_server>(&decision)) {
-        const int daemons = m_state.daemons.recent_max_senders(now);
+        const int daemons = m_state.sharing_daemons();
         if (!elsewhere->is_retry || m_state.repeats.take(m_service->name, daemons, now)) {
             place();
             return;
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -20,19 +20,11 @@
 // Lifetime of directory answers: short, so that callers soon stop using a daemon
 // that is stopping or dead.
 constexpr duration locate_lifetime = std::chrono::seconds(1);
-// With at least this many daemons in the caller's zone, the directory names
-// only those; with fewer it names the daemons of all zones.
-constexpr std::size_t min_daemons_in_zone = 2;
 // Maximum number of addresses in one directory answer.
 constexpr std::size_t max_directory_addresses = 64;
-// The list of daemons is read at the start, which finds those that are already
-// running; twice more to find those that start at the same time and have
-// written their rows since; and then periodically.
-constexpr duration second_listing_delay = std::chrono::milliseconds(400);
-constexpr duration third_listing_delay = std::chrono::milliseconds(2'500);
-constexpr duration listing_period = std::chrono::seconds(12);
-// Delay before this daemon's row is written again after a failure.
-constexpr duration announce_retry_delay = std::chrono::milliseconds(500);
+// A daemon that stands by gets the tables from active daemons, and loads them itself
+// if they haven't come after this time.
+constexpr duration standby_load_delay = std::chrono::milliseconds(1'200);
 // The settings file is also reloaded without a signal, at this period.
 constexpr duration settings_check_period = std::chrono::seconds(2);
 // Delay after a failed accept: when descriptors or memory run out, an immediate
@@ -93,6 +85,8 @@
       m_acceptor(loop),
       m_signals(loop, SIGTERM, SIGINT, SIGHUP),
       m_peers(m_state, [this] { return own_status(); }),
+      m_presence(
+          m_state, m_peers, [this] { on_part_decided(); }, [this] { on_heartbeat(); }),
       m_reports(m_state, [this](const server_report& report) { m_peers.send_report(report); }),
       m_operator_rows(store_table::operator_rows, settings.store_address, protocol, m_state.calls, m_state.timers,
                       [this](const auto& rows, const auto& changed) { on_operator_rows(rows, changed); }),
@@ -154,21 +148,10 @@
     }
     accept();
     wait_for_signals();
-    m_operator_rows.start();
-    m_server_rows.start();
-    write_own_row();
-    list_daemons();
-    m_state.timers.after(second_listing_delay, [this] { list_daemons(); });
-    m_state.timers.after(third_listing_delay, [this] { list_daemons(); });
-    m_state.timers.every(listing_period, [this] {
-        if (m_state.daemons.is_store_reader(m_state.settings.host.value, m_state.timers.now())) {
-            list_daemons();
-        }
-    });
+    m_presence.start();
     m_state.timers.every(reader_check_period, [this] { update_store_reader(); });
     m_reports.start();
     m_state.timers.every(settings_check_period, [this] { reload(); });
-    m_state.timers.every(heartbeat_period, [this] { heartbeat(); });
     m_state.timers.every(housekeeping_period, [this] {
         m_state.pool.expire();
         m_state.load.drop_expired(m_state.timers.now());
@@ -237,7 +220,7 @@
             .add("routes", m_state.routes->state().routes.size())
             .info();
     }
-    m_peers.send_status();
+    m_presence.announce();
 }
 
 void gateway::on_server_rows(const std::vector<store_row>& changed) {
@@ -272,7 +255,7 @@
             .debug();
         m_state.servers.update(*entry, now);
     }
-    m_peers.send_status();
+    m_presence.announce();
 }
 
 // ---- other daemons ----
@@ -288,60 +271,29 @@
     status.operator_rows_version = m_operator_rows.version();
     status.server_rows_version = m_server_rows.version();
     status.store_in_reach = m_operator_rows.is_store_reachable() && m_server_rows.is_store_reachable();
+    m_presence.describe(status);
     return status;
 }
 
-void gateway::write_own_row() {
-    const auto request =
-        m_state.wire.write_row(store_table::daemon_rows, m_state.settings.host.value, m_state.settings.peer_address);
-    m_state.calls.call(m_state.settings.store_address, request, store_call_limit, [this](const call_result& result) {
-        if (m_state.stopping || (result.answer && result.answer->head.status == 200)) {
-            return;
-        }
-        log_line("own row not written").add("reason", result.failure).warn();
-        m_state.timers.after(announce_retry_delay, [this] { write_own_row(); });
-    });
-}
-
-void gateway::list_daemons(const std::string& first_key) {
-    const auto request = m_state.wire.list_rows(store_table::daemon_rows, first_key);
-    m_state.calls.call(m_state.settings.store_address, request, store_call_limit, [this](const call_result& result) {
-        if (!result.answer) {
-            log_line("daemons not listed").add("reason", result.failure).warn();
-            return;
-        }
-        const auto page = m_state.wire.read_page(*result.answer);
-        const auto* listed = std::get_if<store_page>(&page);
-        if (listed == nullptr) {
-            log_line("daemons not listed").add("status", result.answer->head.status).warn();
-            return;
-        }
-        for (const auto& row : listed->rows) {
-            m_peers.add_address(row.value);
+void gateway::on_part_decided() {
+    const bool active = m_state.role.is_active();
+    for (auto* table : {&m_operator_rows, &m_server_rows}) {
+        table->set_poll_period(active ? non_reader_poll_period : standby_poll_period);
+        if (!m_tables_started || (active && !table->is_loaded())) {
+            table->start(active ? duration::zero() : standby_load_delay);
         }
-        log_line("daemons listed").add("rows", listed->rows.size()).add("version", listed->version).info();
-        m_peers.send_status();
-        if (listed->has_more && !listed->rows.empty()) {
-            // The smallest key that is greater than the last one.
-            list_daemons(listed->rows.back().key + '\0');
-        }
-    });
+    }
+    m_tables_started = true;
 }
 
-void gateway::heartbeat() {
-    m_peers.send_status();
-    const auto now = m_state.timers.now();
-    for (const auto boot : m_state.daemons.remove_dead(now)) {
-        log_line("daemon silent").add("boot", boot).warn();
-        m_state.load.remove_daemon(boot, now);
-    }
+void gateway::on_heartbeat() {
     for (const auto& peer : m_state.daemons.alive()) {
         on_daemon_status(peer);
     }
 }
 
 void gateway::update_store_reader() {
-    const bool reads = m_state.daemons.is_store_reader(m_state.settings.host.value, m_state.timers.now());
+    const bool reads = m_presence.is_store_reader();
     m_operator_rows.set_store_reader(reads);
     m_server_rows.set_store_reader(reads);
 }
@@ -450,24 +402,10 @@
     if (!query) {
         return {{404, {}, {}}, {}};
     }
-    std::vector<std::string> in_zone;
-    std::vector<std::string> all;
-    auto statuses = m_state.daemons.alive();
-    statuses.push_back(own_status());
-    for (const auto& status : statuses) {
-        if (!status.accepting) {
-            continue;
-        }
-        all.push_back(status.front_address);
-        if (status.zone == query->zone) {
-            in_zone.push_back(status.front_address);
-        }
-    }
-    auto& chosen = in_zone.size() >= min_daemons_in_zone ? in_zone : all;
+    auto chosen = m_presence.addresses_for(query->zone, own_status());
     if (chosen.empty()) {
         return {{503, {}, {}}, {}};
     }
-    std::shuffle(chosen.begin(), chosen.end(), m_state.random);
     chosen.resize(std::min(chosen.size(), max_directory_addresses));
     return m_state.wire.locate_answer(chosen, std::min(locate_lifetime, m_state.settings.max_locate_lifetime));
 }
@@ -526,14 +464,7 @@
     m_stop_began = m_state.timers.now();
     m_state.stopping = true;
     log_line("stopping").add("open_requests", m_state.open_requests).info();
-    // Other daemons remove this one from their directory answers at once.
-    m_peers.send_status();
-    const auto request = m_state.wire.remove_row(store_table::daemon_rows, m_state.settings.host.value);
-    m_state.calls.call(m_state.settings.store_address, request, store_call_limit, [](const call_result& result) {
-        if (!result.answer) {
-            log_line("own row not removed").add("reason", result.failure).warn();
-        }
-    });
+    m_presence.leave();
     m_state.timers.every(stop_check_period, [this] { continue_stop(); });
 }
 
--- a/src/serving/gateway.hpp
+++ b/src/serving/gateway.hpp
@@ -4,6 +4,7 @@
 
 #include "gateway_state.hpp"
 #include "peer_link.hpp"
+#include "presence.hpp"
 #include "report_poller.hpp"
 #include "service_listener.hpp"
 #include "table_follower.hpp"
@@ -40,10 +41,8 @@
     void accept();
     void on_operator_rows(const table_follower::rows& rows, const std::vector<store_row>& changed);
     void on_server_rows(const std::vector<store_row>& changed);
-    void write_own_row();
-    // Lists the rows that daemons wrote about themselves, from `first_key` on.
-    void list_daemons(const std::string& first_key = {});
-    void heartbeat();
+    void on_part_decided();
+    void on_heartbeat();
     void on_daemon_status(const daemon_status& peer);
     [[nodiscard]] bool has_newer_rows(const daemon_status& peer) const;
     void fetch_changes();
@@ -65,6 +64,7 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::signal_set m_signals;
     peer_link m_peers;
+    presence m_presence;
     report_poller m_reports;
     table_follower m_operator_rows;
     table_follower m_server_rows;
@@ -74,6 +74,7 @@
     std::unique_ptr<service_listener> m_peer_service;
     std::vector<std::weak_ptr<front_session>> m_sessions;
     std::optional<time_point> m_stop_began;
+    bool m_tables_started = false;
     bool m_fetching_changes = false;
     // When another daemon last reported that it can't reach the store.
     std::optional<time_point> m_peer_store_trouble_at;
--- a/src/serving/gateway_state.hpp
+++ b/src/serving/gateway_state.hpp
@@ -2,6 +2,7 @@
 // event loop's thread only.
 #pragma once
 
+#include "active_role.hpp"
 #include "connection_pool.hpp"
 #include "crashing_request_guard.hpp"
 #include "daemon_view.hpp"
@@ -55,6 +56,7 @@
           placing(lateness_policy{}, boot_of_daemon),
           pacer(chosen.cold),
           repeats(chosen.repeats),
+          role({chosen.host.value, chosen.peer_address, chosen.zone, chosen.cores}, chosen.zones, daemons),
           random(boot_of_daemon),
           boot(boot_of_daemon) {}
 
@@ -66,6 +68,11 @@
     http_client calls;
     metrics counters;
 
+    // Number of daemons by which this one divides limits that all share.
+    [[nodiscard]] int sharing_daemons() {
+        return role.sharing_daemons(daemons.recent_max_senders(timers.now()));
+    }
+
     // Null until the first desired state is known.
     std::shared_ptr<const route_table> routes;
     server_registry servers;
@@ -75,6 +82,7 @@
     retry_budget_share repeats;
     crashing_request_guard guard;
     daemon_view daemons;
+    active_role role;
     peer_notices notices;
     std::mt19937_64 random;
     // Identifies this run of the daemon; a new value at each start.
--- a/src/serving/peer_link.cpp
+++ b/src/serving/peer_link.cpp
@@ -9,6 +9,9 @@
 
 using boost::asio::ip::udp;
 
+// Room that one status takes in a datagram, with names of usual length.
+constexpr std::size_t max_status_bytes = 200;
+
 udp::endpoint udp_endpoint_of(const std::string& address) {
     const auto endpoint = endpoint_of(address);
     return {endpoint.address(), endpoint.port()};
@@ -18,6 +21,44 @@
     return static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
 }
 
+daemon_status status_of(const wire::Status& message, std::uint64_t boot) {
+    daemon_status status;
+    status.boot = boot;
+    status.name = message.name();
+    status.zone = zone_name(message.zone());
+    status.front_address = message.front_address();
+    status.peer_address = message.peer_address();
+    status.accepting = message.accepting();
+    status.operator_rows_version = message.operator_rows_version();
+    status.server_rows_version = message.server_rows_version();
+    status.store_in_reach = message.store_in_reach();
+    status.leaving = message.leaving();
+    status.active = !message.stands_by();
+    status.shares_work = !message.works_alone();
+    status.cores = message.cores();
+    status.requests_per_second = message.requests_per_second();
+    status.chosen_hosts.assign(message.chosen_hosts().begin(), message.chosen_hosts().end());
+    return status;
+}
+
+// The hosts that should be active are left out: only the own zone needs them.
+void fill_status(wire::Status& message, const daemon_status& status) {
+    message.set_boot(status.boot);
+    message.set_name(status.name);
+    message.set_zone(status.zone.value);
+    message.set_front_address(status.front_address);
+    message.set_peer_address(status.peer_address);
+    message.set_accepting(status.accepting);
+    message.set_operator_rows_version(status.operator_rows_version);
+    message.set_server_rows_version(status.server_rows_version);
+    message.set_store_in_reach(status.store_in_reach);
+    message.set_leaving(status.leaving);
+    message.set_stands_by(!status.active);
+    message.set_works_alone(!status.shares_work);
+    message.set_cores(static_cast<float>(status.cores));
+    message.set_requests_per_second(static_cast<float>(status.requests_per_second));
+}
+
 work_item item_of(const wire::WorkItem& message) {
     work_item item;
     item.server = server_name(message.server());
@@ -64,16 +105,15 @@
     m_socket.close(ignored);
 }
 
-void peer_link::add_address(const std::string& address) {
-    if (address == m_own_address || m_peers.contains(address)) {
-        return;
-    }
-    const auto endpoint = udp_endpoint_of(address);
-    if (endpoint.port() == 0) {
-        log_line("ignored daemon address").add("address", address).warn();
-        return;
+const udp::endpoint& peer_link::endpoint_at(const std::string& address) {
+    const auto [found, inserted] = m_endpoints.try_emplace(address);
+    if (inserted) {
+        found->second = udp_endpoint_of(address);
+        if (found->second.port() == 0) {
+            log_line("ignored daemon address").add("address", address).warn();
+        }
     }
-    m_peers.emplace(address, endpoint);
+    return found->second;
 }
 
 void peer_link::receive() {
@@ -99,24 +139,11 @@
     }
     const auto now = m_state.timers.now();
     if (datagram.has_status()) {
-        const auto& status = datagram.status();
-        daemon_status heard;
-        heard.boot = datagram.boot();
-        heard.name = status.name();
-        heard.zone = zone_name(status.zone());
-        heard.front_address = status.front_address();
-        heard.peer_address = status.peer_address();
-        heard.accepting = status.accepting();
-        heard.operator_rows_version = status.operator_rows_version();
-        heard.server_rows_version = status.server_rows_version();
-        heard.store_in_reach = status.store_in_reach();
-        add_address(heard.peer_address);
-        if (m_state.daemons.on_status(heard, now)) {
-            log_line("daemon joined").add("daemon", heard.name).add("boot", heard.boot).info();
-        }
-        if (m_state.notices.on_daemon_status) {
-            m_state.notices.on_daemon_status(heard);
-        }
+        handle_status(status_of(datagram.status(), datagram.boot()), now, false);
+    }
+    for (const auto& relayed : datagram.relayed()) {
+        handle_status(status_of(relayed.status(), relayed.status().boot()),
+                      now - std::chrono::milliseconds(relayed.age_ms()), true);
     }
     for (const auto& update : datagram.work()) {
         apply_work_update(datagram.boot(), update);
@@ -134,6 +161,20 @@
     }
 }
 
+void peer_link::handle_status(const daemon_status& status, time_point heard_at, bool is_relayed) {
+    if (status.name == m_state.settings.host.value) {
+        return;
+    }
+    const bool is_new = is_relayed ? m_state.daemons.on_relayed_status(status, heard_at)
+                                   : m_state.daemons.on_status(status, heard_at);
+    if (is_new) {
+        log_line("daemon joined").add("daemon", status.name).add("boot", status.boot).info();
+    }
+    if (m_state.notices.on_daemon_status) {
+        m_state.notices.on_daemon_status(status);
+    }
+}
+
 void peer_link::apply_work_update(std::uint64_t boot, const wire::WorkUpdate& update) {
     const auto now = m_state.timers.now();
     const work_id id{boot, update.number()};
@@ -153,18 +194,44 @@
 }
 
 void peer_link::send_status() {
+    const auto now = m_state.timers.now();
     const auto own = m_own_status();
     wire::Datagram datagram;
-    auto& status = *datagram.mutable_status();
-    status.set_name(own.name);
-    status.set_zone(own.zone.value);
-    status.set_front_address(own.front_address);
-    status.set_peer_address(own.peer_address);
-    status.set_accepting(own.accepting);
-    status.set_operator_rows_version(own.operator_rows_version);
-    status.set_server_rows_version(own.server_rows_version);
-    status.set_store_in_reach(own.store_in_reach);
-    send_to_all(datagram);
+    fill_status(*datagram.mutable_status(), own);
+    send(datagram, m_state.role.heartbeat_targets_elsewhere(now));
+    for (const auto& host : own.chosen_hosts) {
+        datagram.mutable_status()->add_chosen_hosts(host);
+    }
+    send(datagram, m_state.role.heartbeat_targets_in_zone(now));
+}
+
+void peer_link::relay_statuses() {
+    const auto now = m_state.timers.now();
+    std::vector<std::string> standby;
+    for (const auto& [name, member] : m_state.daemons.members()) {
+        if (member.status.zone == m_state.settings.zone && !member.status.shares_work) {
+            standby.push_back(member.status.peer_address);
+        }
+    }
+    if (standby.empty()) {
+        return;
+    }
+    wire::Datagram datagram;
+    for (const auto& [name, member] : m_state.daemons.members()) {
+        if (member.is_relayed || !member.status.shares_work || member.status.zone == m_state.settings.zone) {
+            continue;
+        }
+        auto& relayed = *datagram.add_relayed();
+        fill_status(*relayed.mutable_status(), member.status);
+        relayed.set_age_ms(milliseconds_of(now - member.last_heard));
+        if (datagram.ByteSizeLong() > max_datagram_bytes - max_status_bytes) {
+            send(datagram, standby);
+            datagram.Clear();
+        }
+    }
+    if (datagram.relayed_size() > 0) {
+        send(datagram, standby);
+    }
 }
 
 void peer_link::send_work(const work_update& update) {
@@ -222,15 +289,30 @@
     if (m_batch->ByteSizeLong() == 0) {
         return;
     }
-    send_to_all(*m_batch);
+    send(*m_batch, work_targets());
     m_batch->Clear();
 }
 
-void peer_link::send_to_all(const wire::Datagram& datagram) {
+std::span<const std::string> peer_link::work_targets() {
+    if (m_targets_revision != m_state.daemons.revision()) {
+        m_targets_revision = m_state.daemons.revision();
+        m_work_targets = m_state.role.work_targets();
+    }
+    return m_work_targets;
+}
+
+void peer_link::send(const wire::Datagram& datagram, std::span<const std::string> addresses) {
+    if (addresses.empty()) {
+        return;
+    }
     wire::Datagram stamped_datagram = datagram;
     stamped_datagram.set_boot(m_state.boot);
     const std::string bytes = stamped_datagram.SerializeAsString();
-    for (const auto& [address, endpoint] : m_peers) {
+    for (const auto& address : addresses) {
+        const auto& endpoint = endpoint_at(address);
+        if (endpoint.port() == 0) {
+            continue;
+        }
         boost::system::error_code error;
         m_socket.send_to(boost::asio::buffer(bytes), endpoint, 0, error);
         if (error) {
--- a/src/serving/peer_link.hpp
+++ b/src/serving/peer_link.hpp
@@ -9,8 +9,10 @@
 
 #include <array>
 #include <functional>
-#include <map>
-#include <set>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
 
 namespace verbenahold::serving::wire {
 class Datagram;
@@ -36,10 +38,11 @@
 
     bool open(const std::string& address, std::string& fault);
     void close();
-    // Adds the address of another daemon as a destination; ignores known ones
-    // and this daemon's own.
-    void add_address(const std::string& address);
+    // Sends this daemon's status to the daemons that need it now.
     void send_status();
+    // Sends the statuses of the active daemons of other zones, as heard from
+    // themselves, to the daemons of this zone that stand by.
+    void relay_statuses();
 
     void send_work(const work_update& update);
     void send_trouble(const server_name& server);
@@ -49,19 +52,26 @@
 private:
     void receive();
     void handle_datagram(std::size_t size);
+    void handle_status(const daemon_status& status, time_point heard_at, bool is_relayed);
     void apply_work_update(std::uint64_t boot, const wire::WorkUpdate& update);
     // Sends the batched updates at once if they fill half a datagram, else after
     // the batching delay.
     void schedule_flush();
     void flush();
-    void send_to_all(const wire::Datagram& datagram);
+    void send(const wire::Datagram& datagram, std::span<const std::string> addresses);
+    // The endpoint of an address; port 0 if the address is malformed.
+    const boost::asio::ip::udp::endpoint& endpoint_at(const std::string& address);
+    [[nodiscard]] std::span<const std::string> work_targets();
 
     gateway_state& m_state;
     std::function<daemon_status()> m_own_status;
     boost::asio::ip::udp::socket m_socket;
     boost::asio::ip::udp::endpoint m_sender;
     std::array<char, 4'096> m_buffer{};
-    std::map<std::string, boost::asio::ip::udp::endpoint> m_peers;
+    std::unordered_map<std::string, boost::asio::ip::udp::endpoint> m_endpoints;
+    // Valid for this revision of the view of daemons.
+    std::vector<std::string> m_work_targets;
+    std::uint64_t m_targets_revision = 0;
     std::unique_ptr<wire::Datagram> m_batch;
     std::string m_own_address;
     bool m_flush_scheduled = false;
--- a/src/serving/serving_settings.hpp
+++ b/src/serving/serving_settings.hpp
@@ -15,6 +15,10 @@
 struct serving_settings {
     host_name host;
     zone_name zone;
+    // Number of availability zones of the deployment.
+    std::size_t zones = 1;
+    // Processor cores of this host, a fraction for a share of one.
+    double cores = 1;
     // IPv4 address of this host.
     std::string ip;
     // Addresses to listen on, "IP:PORT"; an empty one is not opened.
--- a/src/serving/table_follower.cpp
+++ b/src/serving/table_follower.cpp
@@ -27,8 +27,18 @@
       m_timers(timers),
       m_on_change(std::move(on_change)) {}
 
-void table_follower::start() {
-    load({});
+void table_follower::start(duration delay) {
+    if (m_calling) {
+        return;
+    }
+    m_timers.unsubscribe(m_next_call);
+    m_next_call = m_timers.after(delay, [this] {
+        if (is_loaded()) {
+            schedule_next_poll();
+        } else {
+            load({});
+        }
+    });
 }
 
 std::optional<time_point> table_follower::last_trouble() const {
@@ -52,7 +62,7 @@
         await_changes(change_wait);
         return;
     }
-    m_next_call = m_timers.after(non_reader_poll_period, [this] { await_changes({}); });
+    m_next_call = m_timers.after(m_poll_period, [this] { await_changes({}); });
 }
 
 void table_follower::call(const http_request& request, duration limit, std::function<void(const store_page&)> done) {
--- a/src/serving/table_follower.hpp
+++ b/src/serving/table_follower.hpp
@@ -21,6 +21,9 @@
 // How often a daemon that is no store reader polls the store itself, in case the
 // changes from other daemons are incomplete.
 inline constexpr duration non_reader_poll_period = std::chrono::seconds(10);
+// The same for a daemon that stands by: active daemons tell it of changes, and these
+// polls are the only calls whose number grows with the number of hosts.
+inline constexpr duration standby_poll_period = std::chrono::seconds(30);
 // Exponential backoff after a failed call, initial and maximum delay. Refused
 // calls are charged as well.
 inline constexpr duration min_store_retry_delay = std::chrono::milliseconds(150);
@@ -46,7 +49,11 @@
     table_follower(store_table table, const std::string& store_address, const wire_protocol& wire, http_client& calls,
                    loop_timers& timers, change_callback on_change);
 
-    void start();
+    // Loads the table from the store after `delay`, unless other daemons sent it
+    // before.
+    void start(duration delay);
+    // How often the store is polled while this daemon is no store reader.
+    void set_poll_period(duration period) { m_poll_period = period; }
     // Sets whether this daemon is a store reader and polls for changes all the
     // time.
     void set_store_reader(bool waits);
@@ -90,6 +97,7 @@
     std::uint64_t m_oldest_diff_version = 0;
     std::uint64_t m_version = 0;
     duration m_retry_delay = min_store_retry_delay;
+    duration m_poll_period = non_reader_poll_period;
     loop_timers::subscription m_next_call{};
     bool m_calling = false;
     bool m_is_store_reader = true;
--- a/test/rig/serving_rig.cpp
+++ b/test/rig/serving_rig.cpp
@@ -228,7 +228,7 @@
     settings.repeats = {0.2, 100, 10s};
     settings.cold = {1.5, 5};
     // Daemons find each other through the store.
-    store.put("daemons", name, settings.peer_address);
+    store.put("daemons", name, encode_daemon_record({name, settings.peer_address, settings.zone, settings.cores}));
     started_daemon.running = std::make_unique<gateway>(loop, settings, m_protocol, rig_start_us);
     std::string fault;
     if (!started_daemon.running->start(fault)) {
