Tell the active hosts of other zones of this one, whoever is heard there

Cause: an active daemon that heard one active daemon of a zone told no other host there of itself. Change: heartbeats across zones name the hosts chosen there, and go to all hosts that a zone is heard to have chosen. Measured: 'the active hosts of all zones know each other' failed before and passes.

--- a/src/routing/active_role.cpp
+++ b/src/routing/active_role.cpp
@@ -34,8 +34,7 @@
 bool active_role::serve_callers(std::span<const std::string> hosts, time_point now) const {
     return std::all_of(hosts.begin(), hosts.end(), [&](const std::string& name) {
         const auto found = m_view.members().find(name);
-        return found != m_view.members().end() && is_fresh_active(found->second, now) &&
-               found->second.status.accepting;
+        return found != m_view.members().end() && is_fresh_active(found->second, now) && found->second.status.accepting;
     });
 }
 
@@ -73,7 +72,8 @@
         return false;
     }
     const auto hosts = known_hosts(m_own.zone);
-    const auto own = std::find_if(hosts.begin(), hosts.end(), [&](const auto& host) { return host.name == m_own.name; });
+    const auto own =
+        std::find_if(hosts.begin(), hosts.end(), [&](const auto& host) { return host.name == m_own.name; });
     const auto groups_ahead = (own - hosts.begin()) / static_cast<std::ptrdiff_t>(min_active_hosts_per_zone);
     return now - *m_alone_since >= takeover_step * groups_ahead;
 }
@@ -143,26 +143,37 @@
 }
 
 std::vector<std::string> active_role::heartbeat_targets_elsewhere(time_point now) const {
-    std::vector<std::string> addresses;
     if (!shares_work(now)) {
-        return addresses;
+        return {};
     }
-    std::set<zone_name> zones;
+    std::set<zone_name> unheard_zones;
+    std::set<std::string> hosts;
     for (const auto& [name, record] : m_view.records()) {
         if (!in_own_zone(record.zone)) {
-            zones.insert(record.zone);
+            unheard_zones.insert(record.zone);
         }
     }
     for (const auto& [name, member] : m_view.members()) {
-        if (!in_own_zone(member.status.zone) && member.status.shares_work) {
-            addresses.push_back(member.status.peer_address);
-            if (is_fresh_active(member, now)) {
-                zones.erase(member.status.zone);
-            }
+        const auto& status = member.status;
+        if (in_own_zone(status.zone) || !status.shares_work) {
+            continue;
+        }
+        hosts.insert(name);
+        if (is_fresh_active(member, now)) {
+            unheard_zones.erase(status.zone);
+            // Others that are active there may not have heard of this daemon yet.
+            hosts.insert(status.chosen_hosts.begin(), status.chosen_hosts.end());
+        }
+    }
+    std::vector<std::string> addresses;
+    for (const auto& host : hosts) {
+        const auto record = m_view.records().find(host);
+        if (record != m_view.records().end()) {
+            addresses.push_back(record->second.peer_address);
         }
     }
-    // Zones of which no active daemon is heard: those that are most likely active.
-    for (const auto& zone : zones) {
+    // The hosts that are most likely active there.
+    for (const auto& zone : unheard_zones) {
         add_first_hosts(zone, 2 * min_active_hosts_per_zone, addresses);
     }
     return addresses;
--- a/src/routing/daemon_view.cpp
+++ b/src/routing/daemon_view.cpp
@@ -97,7 +97,8 @@
     const auto own_score = score_of(own_name);
     return std::none_of(m_alive.begin(), m_alive.end(), [&](const auto& entry) {
         const auto& [name, known] = entry;
-        return known.status.active && known.status.accepting && now - known.last_heard < store_reader_timeout && score_of(name) > own_score;
+        return known.status.active && known.status.accepting && now - known.last_heard < store_reader_timeout &&
+               score_of(name) > own_score;
     });
 }
 
--- a/src/serving/gateway_state.hpp
+++ b/src/serving/gateway_state.hpp
@@ -69,9 +69,7 @@
     metrics counters;
 
     // Number of daemons by which this one divides limits that all share.
-    [[nodiscard]] int sharing_daemons() {
-        return role.sharing_daemons(daemons.recent_max_senders(timers.now()));
-    }
+    [[nodiscard]] int sharing_daemons() { return role.sharing_daemons(daemons.recent_max_senders(timers.now())); }
 
     // Null until the first desired state is known.
     std::shared_ptr<const route_table> routes;
--- a/src/serving/peer_link.cpp
+++ b/src/serving/peer_link.cpp
@@ -10,7 +10,7 @@
 using boost::asio::ip::udp;
 
 // Room that one status takes in a datagram, with names of usual length.
-constexpr std::size_t max_status_bytes = 200;
+constexpr std::size_t max_status_bytes = 400;
 
 udp::endpoint udp_endpoint_of(const std::string& address) {
     const auto endpoint = endpoint_of(address);
@@ -41,7 +41,6 @@
     return status;
 }
 
-// The hosts that should be active are left out: only the own zone needs them.
 void fill_status(wire::Status& message, const daemon_status& status) {
     message.set_boot(status.boot);
     message.set_name(status.name);
@@ -57,6 +56,9 @@
     message.set_works_alone(!status.shares_work);
     message.set_cores(static_cast<float>(status.cores));
     message.set_requests_per_second(static_cast<float>(status.requests_per_second));
+    for (const auto& host : status.chosen_hosts) {
+        message.add_chosen_hosts(host);
+    }
 }
 
 work_item item_of(const wire::WorkItem& message) {
@@ -165,8 +167,8 @@
     if (status.name == m_state.settings.host.value) {
         return;
     }
-    const bool is_new = is_relayed ? m_state.daemons.on_relayed_status(status, heard_at)
-                                   : m_state.daemons.on_status(status, heard_at);
+    const bool is_new =
+        is_relayed ? m_state.daemons.on_relayed_status(status, heard_at) : m_state.daemons.on_status(status, heard_at);
     if (is_new) {
         log_line("daemon joined").add("daemon", status.name).add("boot", status.boot).info();
     }
@@ -195,14 +197,10 @@
 
 void peer_link::send_status() {
     const auto now = m_state.timers.now();
-    const auto own = m_own_status();
     wire::Datagram datagram;
-    fill_status(*datagram.mutable_status(), own);
-    send(datagram, m_state.role.heartbeat_targets_elsewhere(now));
-    for (const auto& host : own.chosen_hosts) {
-        datagram.mutable_status()->add_chosen_hosts(host);
-    }
+    fill_status(*datagram.mutable_status(), m_own_status());
     send(datagram, m_state.role.heartbeat_targets_in_zone(now));
+    send(datagram, m_state.role.heartbeat_targets_elsewhere(now));
 }
 
 void peer_link::relay_statuses() {
--- a/test/correctness/core_active_hosts.cpp
+++ b/test/correctness/core_active_hosts.cpp
@@ -77,6 +77,11 @@
     }
 
     std::int64_t take_sent() { return std::exchange(m_sent, 0); }
+    // The hosts that this one tells of its work.
+    [[nodiscard]] std::set<std::string> told_by(const std::string& name) const {
+        const auto targets = m_daemons.at(name).role->work_targets();
+        return {targets.begin(), targets.end()};
+    }
     [[nodiscard]] std::size_t heard_by(const std::string& name) const {
         return m_daemons.at(name).view->members().size();
     }
@@ -103,8 +108,8 @@
         status.active = daemon.role->is_active();
         status.shares_work = daemon.role->shares_work(m_now);
         status.requests_per_second = status.active ? requests_per_second : 0;
-        deliver(status, daemon.role->heartbeat_targets_elsewhere(m_now));
         status.chosen_hosts = status.active ? daemon.role->chosen_hosts() : std::vector<std::string>();
+        deliver(status, daemon.role->heartbeat_targets_elsewhere(m_now));
         deliver(status, daemon.role->heartbeat_targets_in_zone(m_now));
     }
 
@@ -170,6 +175,23 @@
     CHECK(of_255 / 255 <= 1.25 * of_75 / 75);
 }
 
+// Actives that knew one host of another zone told no other host there, so each
+// placed without knowing a part of the others' work.
+TEST_CASE("the active hosts of all zones know each other, however many they are") {
+    for (const double requests_per_second : {0.0, 60.0}) {
+        played_daemons fleet(five_zones.size());
+        fleet.requests_per_second = requests_per_second;
+        add_large_fleet(fleet, 36);
+        fleet.run_for(20s);
+        const auto active = fleet.active();
+        for (const auto& host : active) {
+            auto expected = active;
+            expected.erase(host);
+            CHECK(fleet.told_by(host) == expected);
+        }
+    }
+}
+
 TEST_CASE("a host that stands by hears the active hosts of its zone only") {
     played_daemons fleet(five_zones.size());
     add_large_fleet(fleet, 36);
--- a/test/rig/serving_rig.cpp
+++ b/test/rig/serving_rig.cpp
@@ -218,6 +218,7 @@
     auto& settings = started_daemon.settings;
     settings.host = host_name(name);
     settings.zone = zone_name("zone-a");
+    settings.zones = zones;
     settings.ip = "127.0.0.1";
     settings.front_address = free_loopback_address(loop);
     settings.ready_address = free_loopback_address(loop);
@@ -229,7 +230,7 @@
     settings.cold = {1.5, 5};
     // Daemons find each other through the store.
     store.put("daemons", name, encode_daemon_record({name, settings.peer_address, settings.zone, settings.cores}));
-    started_daemon.running = std::make_unique<gateway>(loop, settings, m_protocol, rig_start_us);
+    started_daemon.running = std::make_unique<gateway>(*started_daemon.loop, settings, m_protocol, rig_start_us);
     std::string fault;
     if (!started_daemon.running->start(fault)) {
         throw std::runtime_error(fault);
@@ -275,19 +276,41 @@
     return *m_callers.back();
 }
 
+void serving_rig::run_step() {
+    std::size_t handled = loop.poll();
+    for (auto& [name, daemon] : m_daemons) {
+        handled += daemon.is_silent ? 0 : daemon.loop->poll();
+    }
+    if (handled == 0) {
+        loop.run_one_for(1ms);
+    }
+}
+
+std::string serving_rig::ask_directory(const std::string& daemon) {
+    scripted_caller caller(loop, settings(daemon).directory_address);
+    caller.send("GET /api/resolve?name=h.example&region=r&zone=zone-a HTTP/1.1\r\nHost: h\r\n\r\n");
+    run_until([&] { return caller.received().find("\r\n\r\n") != std::string::npos; });
+    const std::string answer = caller.received();
+    caller.leave();
+    run_until([&] { return caller.ended(); });
+    return answer;
+}
+
 bool serving_rig::run_until(const std::function<bool()>& condition) {
     const auto deadline = std::chrono::steady_clock::now() + max_wait;
     while (!condition()) {
         if (std::chrono::steady_clock::now() > deadline) {
             return false;
         }
-        loop.run_one_for(10ms);
+        run_step();
     }
     return true;
 }
 
 void serving_rig::run_for(duration time) {
-    loop.run_for(time);
+    for (const auto end = std::chrono::steady_clock::now() + time; std::chrono::steady_clock::now() < end;) {
+        run_step();
+    }
 }
 
 bool serving_rig::run_until_ready(const std::string& daemon) {
--- a/test/rig/serving_rig.hpp
+++ b/test/rig/serving_rig.hpp
@@ -119,6 +119,11 @@
     serving_rig(serving_rig&&) = delete;
     serving_rig& operator=(serving_rig&&) = delete;
 
+    // Number of zones that the settings of daemons name; all daemons are in one.
+    std::size_t zones = 1;
+    // From now on the daemon is silent and its connections hang, as after a loss of
+    // power.
+    void silence_daemon(const std::string& name) { m_daemons.at(name).is_silent = true; }
     // Starts a daemon of this name; `store_address` replaces the rig's store.
     void start_daemon(const std::string& name, const std::string& store_address = {});
     [[nodiscard]] const serving_settings& settings(const std::string& name) const;
@@ -129,6 +134,8 @@
     // /stream/ of host h.example and the key key-1.
     void put_desired_state(int version = 1);
     scripted_caller& call(const std::string& daemon, const std::string& bytes);
+    // Asks the daemon's directory as a caller of the zone does; returns the answer.
+    std::string ask_directory(const std::string& daemon);
     scripted_caller& call_address(const std::string& address, const std::string& bytes);
     // Runs the loop until the condition holds; false after five seconds.
     bool run_until(const std::function<bool()>& condition);
@@ -140,8 +147,14 @@
     scripted_store store;
 
 private:
+    // Runs what is due for callers, servers, the store and all daemons.
+    void run_step();
+
     struct running_daemon {
         serving_settings settings;
+        // A loop of its own, so that one daemon can fall silent.
+        std::unique_ptr<boost::asio::io_context> loop = std::make_unique<boost::asio::io_context>();
+        bool is_silent = false;
         std::unique_ptr<gateway> running;
     };
 
