--- a/test/correctness/serving_platform_protocol.cpp
+++ b/test/correctness/serving_platform_protocol.cpp
@@ -174,6 +174,15 @@
     const auto read = platform::decode_settings(good);
     REQUIRE(std::holds_alternative<serving_settings>(read));
     CHECK(std::get<serving_settings>(read).peer_address == "10.0.0.1:7340");
+    CHECK(std::get<serving_settings>(read).zones == 1);
+    CHECK(std::get<serving_settings>(read).cores == 1);
+    auto larger = good;
+    larger.replace(larger.find("\"a-new-key\":true"), 16,
+                   R"("zones":{"z":"r","y":"r","x":"r"},"limits":{"cpu-share":0.25,"cpu-cores":2})");
+    const auto read_larger = platform::decode_settings(larger);
+    REQUIRE(std::holds_alternative<serving_settings>(read_larger));
+    CHECK(std::get<serving_settings>(read_larger).zones == 3);
+    CHECK(std::get<serving_settings>(read_larger).cores == 0.5);
     const auto fault_of = [&](const std::string& from, const std::string& to) {
         auto text = good;
         text.replace(text.find(from), from.size(), to);
@@ -181,6 +190,7 @@
         REQUIRE(std::holds_alternative<platform::settings_fault>(result));
         return std::get<platform::settings_fault>(result).key;
     };
+    CHECK(fault_of("\"a-new-key\":true", "\"limits\":{\"cpu-share\":\"much\"}") == "limits.cpu-share");
     CHECK(fault_of("\"zone\"", "\"zonk\"") == "zone");
     CHECK(fault_of("\"grace-s\":8", "\"grace-s\":\"8\"") == "bounds.grace-s");
     CHECK(fault_of("10.0.0.1:1\"", "nowhere\"") == "listen.address");
