--- a/test/correctness/core_serving_placement.cpp
+++ b/test/correctness/core_serving_placement.cpp
@@ -5,6 +5,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <iostream>
+
 using namespace verbenahold;
 using namespace verbenahold::serving;
 using namespace std::chrono_literals;
@@ -115,6 +117,30 @@
     CHECK(in_time(answers, kinds, 0) >= share_in_time);
 }
 
+// A quarter of the fleet and of the load of the large deployment, whose callers the
+// directory sends to 15 hosts.
+TEST_CASE("hosts that share their work serve a large fleet's load, and better than hosts that don't") {
+    constexpr int quarter_of_servers = 43;
+    constexpr std::size_t active_hosts = 15;
+    auto large_engine = engine();
+    large_engine.batch_slots = 10;
+    large_engine.steps_per_iteration = 80;
+    const std::vector<simulated_request_kind> kinds{kind(400ms, 300ms, 59, 4'960, 0.9, 23'800, 24),
+                                                    kind(1'500ms, 800ms, 4.3, 45'000, 0.5, 110'000, 14),
+                                                    kind(4'000ms, 1'200ms, 1.4, 220'000, 0.55, 300'000, 12)};
+    simulated_fleet sharing(quarter_of_servers, large_engine, lateness_policy{}, seed);
+    const auto shared = sharing.play(kinds, 20s);
+    simulated_fleet separate(quarter_of_servers, large_engine, lateness_policy{}, seed, active_hosts);
+    const auto unshared = separate.play(kinds, 20s);
+    for (std::size_t kind = 0; kind < kinds.size(); ++kind) {
+        CAPTURE(kind);
+        std::cout << "kind " << kind << " in time: " << in_time(shared, kinds, kind) << " shared, "
+                  << in_time(unshared, kinds, kind) << " not shared\n";
+        CHECK(in_time(shared, kinds, kind) >= share_in_time);
+        CHECK(in_time(shared, kinds, kind) > in_time(unshared, kinds, kind));
+    }
+}
+
 TEST_CASE("an idle fleet accepts every prompt that fits its KV memory") {
     server_registry registry;
     for (int index = 0; index < servers; ++index) {
--- a/test/driver/simulated_fleet.cpp
+++ b/test/driver/simulated_fleet.cpp
@@ -9,8 +9,8 @@
 namespace verbenahold::serving {
 
 simulated_fleet::simulated_fleet(int servers, const engine_cost_model& engine, placement_policy policy,
-                                 std::uint64_t seed)
-    : m_engine(engine), m_placer(policy, seed), m_random(seed) {
+                                 std::uint64_t seed, std::size_t daemons_apart)
+    : m_engine(engine), m_loads(daemons_apart), m_placer(policy, seed), m_random(seed) {
     m_service.name = service_name("llm");
     m_service.engine = engine;
     for (int index = 0; index < servers; ++index) {
@@ -35,7 +35,7 @@
         for (double at_ms = gap(m_random); from_ms(at_ms) < length; at_ms += gap(m_random)) {
             const time_point at(from_ms(at_ms));
             m_events.push({at, m_arrivals.size(), true});
-            m_arrivals.push_back({kind, 0, at});
+            m_arrivals.push_back({kind, 0, at, m_arrivals.size() % m_loads.size()});
         }
     }
     while (!m_events.empty()) {
@@ -80,7 +80,9 @@
         caller.prompt = std::min(std::lognormal_distribution<double>(mu, played.spread)(m_random), played.max_prompt);
     }
     const double prompt = caller.prompt;
+    auto& load = m_loads[caller.daemon];
     request made;
+    made.daemon = caller.daemon;
     made.answer.kind = caller.kind;
     made.sent = caller.first_asked;
     made.events_left = played.events;
@@ -91,7 +93,7 @@
     wanted.max_output_tokens = played.events * m_engine.steps_per_iteration;
     wanted.time_left = played.matched.timeout;
     const auto result = m_placer.place(
-        wanted, m_registry, m_load, [](const server_entry&) { return true; }, m_now);
+        wanted, m_registry, load, [](const server_entry&) { return true; }, m_now);
     if (const auto* none = std::get_if<no_placement>(&result)) {
         wait_or_refuse(played, index, *none);
         return;
@@ -106,15 +108,15 @@
     const auto context = wanted.prompt_tokens + wanted.max_output_tokens;
     const double weight = std::max(1.0, prompt / m_engine.mean_prompt_tokens);
     const auto& matched = played.matched;
-    m_load.add(made.work,
-               {made.placed.primary.id, made.placed.part_ms, context, true, matched.event_gap_target,
-                matched.latency_target, weight},
-               m_now, m_now + matched.timeout);
+    load.add(made.work,
+             {made.placed.primary.id, made.placed.part_ms, context, true, matched.event_gap_target,
+              matched.latency_target, weight},
+             m_now, m_now + matched.timeout);
     std::vector<std::size_t> targets{made.primary_index};
     for (const auto& helper : made.placed.helpers) {
         targets.push_back(index_of(helper.server.id));
-        m_load.add(made.work, {helper.server.id, made.placed.part_ms, 0, false, {}, matched.latency_target, weight},
-                   m_now, m_now + matched.timeout);
+        load.add(made.work, {helper.server.id, made.placed.part_ms, 0, false, {}, matched.latency_target, weight},
+                 m_now, m_now + matched.timeout);
     }
     m_requests.push_back(made);
     for (const auto target : targets) {
@@ -172,14 +174,14 @@
     const auto since_sent = m_now - which.sent;
     if (which.last_event == time_point{}) {
         which.answer.first_event = since_sent;
-        m_load.on_prefill_done(which.work, m_now);
+        m_loads[which.daemon].on_prefill_done(which.work, m_now);
     } else {
         which.answer.max_event_gap = std::max(which.answer.max_event_gap, m_now - which.last_event);
     }
     which.last_event = m_now;
     if (--which.events_left == 0) {
         which.answer.finished = true;
-        m_load.remove(which.work, m_now);
+        m_loads[which.daemon].remove(which.work, m_now);
     }
 }
 
--- a/test/driver/simulated_fleet.hpp
+++ b/test/driver/simulated_fleet.hpp
@@ -36,7 +36,10 @@
 
 class simulated_fleet {
 public:
-    simulated_fleet(int servers, const engine_cost_model& engine, placement_policy policy, std::uint64_t seed);
+    // Requests are placed by daemons that tell each other all their work at once, or,
+    // if `daemons_apart` is over 1, by that many daemons that know their own work only.
+    simulated_fleet(int servers, const engine_cost_model& engine, placement_policy policy, std::uint64_t seed,
+                    std::size_t daemons_apart = 1);
 
     // Simulates arrivals of all kinds for `length`, and then runs until all answers
     // have ended.
@@ -66,6 +69,7 @@
         time_point last_event{};
         std::size_t parts_left = 0;
         std::size_t primary_index = 0;
+        std::size_t daemon = 0;
         int events_left = 0;
     };
     // A request that arrives, or that tries to be placed again.
@@ -73,6 +77,7 @@
         std::size_t kind = 0;
         double prompt = 0;
         time_point first_asked{};
+        std::size_t daemon = 0;
     };
     struct event {
         time_point at{};
@@ -95,7 +100,8 @@
     engine_cost_model m_engine;
     service m_service;
     server_registry m_registry;
-    engine_load m_load;
+    // What each daemon knows of the servers' work.
+    std::vector<engine_load> m_loads;
     placer m_placer;
     std::mt19937_64 m_random;
     std::vector<engine_server> m_servers;
