--- a/src/routing/active_role.hpp
+++ b/src/routing/active_role.hpp
@@ -52,11 +52,12 @@
 private:
     [[nodiscard]] bool in_own_zone(const zone_name& zone) const { return zone == m_own.zone || zone.value.empty(); }
     [[nodiscard]] bool is_fresh_active(const daemon_view::member& member, time_point now) const;
-    // Hosts of a zone by rank; with `this daemon` in its own zone.
+    // All known hosts of a zone by rank, this one among those of its own zone.
     [[nodiscard]] std::vector<host_candidate> known_hosts(const zone_name& zone) const;
     void choose(double requests_per_second, bool leaving, time_point now);
     // The choice of the active daemon of the highest rank, so that all follow one.
     [[nodiscard]] const std::vector<std::string>& deciding_choice(time_point now) const;
+    // Whether all of `hosts` are heard, active and ready for callers.
     [[nodiscard]] bool serve_callers(std::span<const std::string> hosts, time_point now) const;
     [[nodiscard]] bool may_take_over(time_point now) const;
     void add_first_hosts(const zone_name& zone, std::size_t count, std::vector<std::string>& addresses) const;
--- a/src/serving/presence.cpp
+++ b/src/serving/presence.cpp
@@ -186,8 +186,8 @@
             .info();
         m_on_part_decided();
     }
-    const bool told_others = m_state.role.is_active() && chosen_before != m_state.role.chosen_hosts();
-    if (changed || told_others) {
+    const bool choice_changed = m_state.role.is_active() && chosen_before != m_state.role.chosen_hosts();
+    if (changed || choice_changed) {
         m_peers.send_status();
     }
 }
