Take cores that are no number from a row or a datagram as none

Cause: hosts are sorted by cores; a row with 'cores=nan' breaks the order that the sort relies on, which may end the process. Change: such amounts count as 0 where they come in. Measured: three checks of 'a daemon's row keeps its zone and cores' failed before and pass now.

--- a/src/routing/daemon_record.cpp
+++ b/src/routing/daemon_record.cpp
@@ -1,6 +1,7 @@
 #include "daemon_record.hpp"
 
 #include <charconv>
+#include <cmath>
 
 namespace verbenahold::serving {
 
@@ -20,6 +21,10 @@
 
 }  // namespace
 
+double usable_amount(double value) {
+    return std::isfinite(value) && value > 0 ? value : 0;
+}
+
 std::string encode_daemon_record(const daemon_record& record) {
     std::string value = record.peer_address;
     value.append(1, separator).append(zone_field).append(record.zone.value);
@@ -38,6 +43,7 @@
         } else if (field.starts_with(cores_field)) {
             const auto text = field.substr(cores_field.size());
             std::from_chars(text.data(), text.data() + text.size(), record.cores);
+            record.cores = usable_amount(record.cores);
         }
     }
     return record;
--- a/src/routing/daemon_record.hpp
+++ b/src/routing/daemon_record.hpp
@@ -18,6 +18,10 @@
     double cores = 0;
 };
 
+// `value`, or 0 if it is negative or no number: hosts are ranked by such values, and
+// they come from rows and datagrams.
+double usable_amount(double value);
+
 // The value of the row; its key is the daemon's name. Releases that know the address
 // only read it from the beginning of the value.
 std::string encode_daemon_record(const daemon_record& record);
--- a/src/serving/peer_link.cpp
+++ b/src/serving/peer_link.cpp
@@ -35,8 +35,8 @@
     status.leaving = message.leaving();
     status.active = !message.stands_by();
     status.shares_work = !message.works_alone();
-    status.cores = message.cores();
-    status.requests_per_second = message.requests_per_second();
+    status.cores = usable_amount(message.cores());
+    status.requests_per_second = usable_amount(message.requests_per_second());
     status.chosen_hosts.assign(message.chosen_hosts().begin(), message.chosen_hosts().end());
     return status;
 }
--- a/test/correctness/core_active_hosts.cpp
+++ b/test/correctness/core_active_hosts.cpp
@@ -249,4 +249,7 @@
     const auto newer = decode_daemon_record("host-3", "10.0.0.3:7340;rack=7;zone=zone-b;cores=much");
     CHECK(newer.zone == zone_name("zone-b"));
     CHECK(newer.cores == 0);
+    for (const std::string cores : {"nan", "inf", "-1", ""}) {
+        CHECK(decode_daemon_record("host-4", "10.0.0.4:7340;zone=zone-b;cores=" + cores).cores == 0);
+    }
 }
