Log the shared parts of a prompt and the events received where an attempt fails

Cause: the logs didn't tell whether requests that were lost with their engines have something in common, nor whether their streams had begun. Change: the ids of the prompt's shared parts are decoded, and 'attempt failed' names them and the events that came before.

--- a/src/serving/exchange.hpp
+++ b/src/serving/exchange.hpp
@@ -53,6 +53,7 @@
     time_point sent_at{};
     // When the last stream event arrived; zero before the first.
     time_point last_event_at{};
+    std::size_t events_received = 0;
     http_answer answer;
     server_answer decoded;
     event_splitter events;
--- a/src/serving/exchange_attempts.cpp
+++ b/src/serving/exchange_attempts.cpp
@@ -48,12 +48,20 @@
 // Priorities that servers know; 0 is the most urgent.
 constexpr int lowest_priority = 9;
 
+std::string joined(std::span<const std::string> names) {
+    std::string text;
+    for (const auto& name : names) {
+        text.append(text.empty() ? "" : ",").append(name);
+    }
+    return text;
+}
+
 std::string names_of(std::span<const prefill_helper> helpers) {
-    std::string names;
+    std::vector<std::string> names;
     for (const auto& helper : helpers) {
-        names.append(names.empty() ? "" : ",").append(helper.server.id.value);
+        names.push_back(helper.server.id.value);
     }
-    return names;
+    return joined(names);
 }
 
 }  // namespace
@@ -266,6 +274,7 @@
     if (events.empty()) {
         return;
     }
+    m_attempt->events_received += events.size();
     m_attempt->last_event_at = m_state.timers.now();
     m_state.load.on_stream_event(m_attempt->server, m_attempt->last_event_at);
     if (!m_attempt->prefill_done_announced) {
@@ -432,6 +441,8 @@
         .add("reason", reason)
         .add("status", failure.head.status)
         .add("after_ms", now - m_attempt->sent_at)
+        .add("events", m_attempt->events_received)
+        .add("parts", joined(m_request.shared_parts))
         .add("may_have_run", m_history.may_have_run)
         .add("left_ms", time_left())
         .warn();
--- a/src/serving/wire_protocol.hpp
+++ b/src/serving/wire_protocol.hpp
@@ -30,6 +30,8 @@
     std::optional<std::int64_t> last_event_id;
     std::int64_t prompt_tokens = 0;
     std::int64_t max_output_tokens = 0;
+    // Ids of the parts of the prompt that other requests may share, in order.
+    std::vector<std::string> shared_parts;
 };
 
 // Information that the serving layer adds to a request for one server.
--- a/test/correctness/serving_platform_protocol.cpp
+++ b/test/correctness/serving_platform_protocol.cpp
@@ -23,6 +23,7 @@
              {"Authorization", "Bearer key-1"},
              {"Verbenahold-Deadline-Ms", "1500"},
              {"Verbenahold-Token-Usage", "1460,80"},
+             {"Verbenahold-Prompt-Prefix", "5c1e07a2:800, 91bd3f06:410,e4402b7d:250"},
              {"Last-Event-Id", "12"},
              {"Connection", "X-Private, keep-alive"},
              {"X-Private", "one connection only"},
@@ -49,8 +50,10 @@
     CHECK(decoded.prompt_tokens == 1'460);
     CHECK(decoded.max_output_tokens == 80);
     CHECK(decoded.last_event_id == 12);
+    CHECK(decoded.shared_parts == std::vector<std::string>{"5c1e07a2", "91bd3f06"});
     const auto& kept = decoded.request.fields;
     CHECK(field_value(kept, "X-Kept") == "yes");
+    CHECK(field_value(kept, "Verbenahold-Prompt-Prefix") == "5c1e07a2:800, 91bd3f06:410,e4402b7d:250");
     for (const char* dropped : {"X-Private", "Authorization", "Verbenahold-Tenant", "Verbenahold-Helpers",
                                 "Verbenahold-Expect-Instance", "Verbenahold-Request-Priority", "Connection"}) {
         CAPTURE(dropped);
