--- /dev/null
+++ b/test/error/serving_crashing_requests.cpp
@@ -0,0 +1,120 @@
+// Tests requests that crash the servers which run them. Guards against such requests
+// going on to crash servers when no two of them are alike, when they come at different
+// daemons, and against blocking sound requests that share nearly everything with them.
+#include "serving_rig.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace verbenahold;
+using namespace verbenahold::serving;
+using namespace std::chrono_literals;
+
+namespace {
+
+using session_pointer = std::shared_ptr<scripted_server::session>;
+
+constexpr const char* deadly_part = "dead01";
+// The platform's bound on harmful requests that reach servers once they should be known.
+constexpr int max_harmful_requests = 3;
+
+bool has_answer(const scripted_caller& caller) {
+    return caller.received().find("\r\n\r\n") != std::string::npos;
+}
+
+bool is_deadly(const http_request& request) {
+    return field_value(request.fields, "Verbenahold-Prompt-Prefix").find(deadly_part) != std::string_view::npos;
+}
+
+// Servers that crash when they begin to answer a prompt with the deadly part, behind
+// several daemons.
+class crashing_rig : public serving_rig {
+public:
+    explicit crashing_rig(std::vector<std::string> hosts) : m_hosts(std::move(hosts)) {
+        for (int number = 0; number < server_count; ++number) {
+            add_server("i-" + std::to_string(number), [this](const auto& request, const auto& session) {
+                if (is_deadly(request) && is_harmful) {
+                    ++harmful_requests;
+                    session->reset();
+                    return;
+                }
+                session->write(stream_head(request));
+                for (int id = 1; id <= 3; ++id) {
+                    session->write(stream_chunk(id));
+                }
+                session->write(stream_end);
+            });
+        }
+        put_desired_state();
+        for (const auto& host : m_hosts) {
+            start_daemon(host);
+        }
+        for (const auto& host : m_hosts) {
+            m_all_ready = m_all_ready && run_until_ready(host);
+        }
+        run_for(settling_time);
+    }
+
+    // Sends a request of its own whose prompt has the given part among its shared ones.
+    scripted_caller& ask(const std::string& host, const std::string& part) {
+        const auto id = std::to_string(++m_asked);
+        return call(host, request_text("POST", "/resumable/x", "a-" + id, "prompt " + id,
+                                       "Verbenahold-Prompt-Prefix: c0de:40," + part + ":900,f" + id + ":100\r\n"));
+    }
+    bool is_served(const std::string& host, const std::string& part) {
+        auto& caller = ask(host, part);
+        run_until([&] { return has_answer(caller); });
+        return caller.received().starts_with("HTTP/1.1 200");
+    }
+    // Sends harmful and sound requests by turns to all hosts until `crashes` servers
+    // have ended.
+    void crash_servers(int crashes) {
+        for (std::size_t turn = 0; harmful_requests < crashes && turn < 100; ++turn) {
+            is_served(m_hosts[turn % m_hosts.size()], deadly_part);
+            run_for(time_between_requests);
+            is_served(m_hosts[turn % m_hosts.size()], "50f7");
+        }
+    }
+
+    [[nodiscard]] bool all_ready() const { return m_all_ready; }
+
+    int harmful_requests = 0;
+    bool is_harmful = true;
+
+private:
+    static constexpr int server_count = 12;
+    static constexpr duration settling_time = 700ms;
+    static constexpr duration time_between_requests = 150ms;
+
+    std::vector<std::string> m_hosts;
+    int m_asked = 0;
+    bool m_all_ready = true;
+};
+
+const std::vector<std::string> three_hosts{"host-1", "host-2", "host-3"};
+
+}  // namespace
+
+TEST_CASE("different requests that share a part which crashes servers are kept from them at every daemon") {
+    crashing_rig rig(three_hosts);
+    REQUIRE(rig.all_ready());
+    rig.crash_servers(5);
+    const int before = rig.harmful_requests;
+    for (int turn = 0; turn < 12; ++turn) {
+        const auto& host = three_hosts[static_cast<std::size_t>(turn) % three_hosts.size()];
+        auto& caller = rig.ask(host, deadly_part);
+        REQUIRE(rig.run_until([&] { return has_answer(caller); }));
+        CAPTURE(caller.received());
+        if (rig.harmful_requests == before) {
+            // It has not run, so that the refusal may say so.
+            CHECK(caller.received().starts_with("HTTP/1.1 503"));
+            CHECK(caller.received().find("Retry-After: ") != std::string::npos);
+        }
+    }
+    CHECK(rig.harmful_requests - before <= max_harmful_requests);
+    for (const auto& host : three_hosts) {
+        CHECK(rig.is_served(host, "50f7"));
+        CHECK(rig.is_served(host, "50f8"));
+    }
+}
