Block requests by the shared part of their prompt that crashes engines

Cause: the guard knew requests as a whole only, and no two of these are alike. Each host's count was taken by maximum, hosts that stand by or start later learned nothing, and retries under way were not asked about.

Change: crash_attribution replaces crashing_request_guard. A request's traits are the request and the shared parts of its prompt. A server that ends before it has begun to answer speaks against the traits of the requests it lost; an answer that began since speaks for them. What three separate crashes share is blocked at once, at all daemons: observations go out when made and again in heartbeats. Asked before each attempt. Connections that time out speak against no request any more: the path may be lost.

Why it works: an engine ends as it writes the first event, so of 15 requests that it takes along one to five are under suspicion, and sound requests clear what they share.

--- a/src/routing/placer.cpp
+++ b/src/routing/placer.cpp
@@ -30,8 +30,12 @@
     return std::uniform_int_distribution<std::size_t>(0, count - 1)(random);
 }
 
+chosen_server choose(const server_entry& entry) {
+    return {entry.id, entry.address, entry.started_at_unix_ms};
+}
+
 placement single_server_placement(const server_entry* server) {
-    return {.primary = {server->id, server->address}, .helpers = {}, .part_ms = 0, .predicted = {}};
+    return {.primary = choose(*server), .helpers = {}, .part_ms = 0, .predicted = {}};
 }
 
 placement place_least_outstanding(const placement_context& context) {
@@ -200,7 +204,7 @@
             slowest_ms = std::max(slowest_ms, part_finish_ms(server, part_ms) + (rank == 0 ? primary_wait_ms : 0));
             cost += interference_cost(server, part_ms) + server_cost + m_tie_costs[ranked[rank].second];
             if (rank > 0) {
-                chosen.helpers.push_back({{server.server->id, server.server->address}, 0});
+                chosen.helpers.push_back({choose(*server.server), 0});
             }
         }
         cost += plan_reservations(ranked, chosen);
--- a/src/routing/placer.hpp
+++ b/src/routing/placer.hpp
@@ -38,6 +38,7 @@
 struct chosen_server {
     server_name id;
     std::string address;
+    std::int64_t started_at_unix_ms = 0;
 };
 
 // A server that prefills a part of a prompt for the server that answers.
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -70,20 +70,38 @@
     const auto allowed = std::min(m_route->timeout, m_request.time_limit.value_or(m_route->timeout));
     m_deadline = m_received_at + allowed;
     m_last_event = m_request.last_event_id;
-    const std::string_view account =
-        m_account != nullptr ? std::string_view(m_account->name.value) : std::string_view();
-    m_fingerprint = request_fingerprint(account, m_request.request.target, m_request.request.body);
-    if (m_state.guard.is_blocked(m_fingerprint, m_state.timers.now())) {
-        fail(503, "servers crashed while they ran this request", retry_after_crashes);
-        return false;
-    }
+    m_traits = traits();
     m_state.repeats.on_request(m_service->name, m_state.timers.now());
     m_deadline_timer =
         m_state.timers.after(std::max(duration::zero(), time_left() - deadline_margin), [this] { on_deadline(); });
     return true;
 }
 
+std::vector<request_trait> exchange::traits() const {
+    const std::string_view account =
+        m_account != nullptr ? std::string_view(m_account->name.value) : std::string_view();
+    std::vector<request_trait> found{trait_of_request(account, m_request.request.target, m_request.request.body)};
+    for (const auto& part : m_request.shared_parts) {
+        found.push_back(trait_of_part(m_service->name.value, part));
+    }
+    return found;
+}
+
+// A request whose answer has begun didn't crash the server that began it.
+bool exchange::crashes_servers() const {
+    return !m_history.answer_begun && m_state.crashes.is_blocked(m_traits, m_state.timers.now());
+}
+
 void exchange::place() {
+    if (crashes_servers()) {
+        m_state.counters.add("requests_blocked");
+        if (m_history.may_have_run > 0) {
+            fail(502, "servers crash on requests like this one");
+        } else {
+            fail(503, "servers crash on requests like this one", retry_after_crashes);
+        }
+        return;
+    }
     const auto now = m_state.timers.now();
     placement_request wanted;
     wanted.wanted = m_service;
--- a/src/serving/exchange.hpp
+++ b/src/serving/exchange.hpp
@@ -53,6 +53,7 @@
     time_point sent_at{};
     // When the last stream event arrived; zero before the first.
     time_point last_event_at{};
+    time_point first_event_at{};
     std::size_t events_received = 0;
     http_answer answer;
     server_answer decoded;
@@ -78,9 +79,11 @@
     void on_output_written();
 
 private:
-    // Matches route, account and service and checks the crash guard. Returns
-    // false if the request was already answered with an error.
+    // Matches route, account and service. Returns false if the request was already
+    // answered with an error.
     bool admit();
+    [[nodiscard]] std::vector<request_trait> traits() const;
+    [[nodiscard]] bool crashes_servers() const;
     void place();
     void wait_for_server(const no_placement& reason);
     void begin_attempt(const placement& chosen);
@@ -99,6 +102,10 @@
     void on_deadline();
     void restart_silence_timer(duration limit);
 
+    // The server has begun to answer, at `began`, and still runs.
+    void note_sound(time_point began);
+    // The server ended the connection before it had begun to answer.
+    void note_crash();
     // The server that the answer names as faulty, or else the attempt's server.
     [[nodiscard]] server_name server_at_fault() const;
     void handle_outcome(const attempt_outcome& outcome, std::string_view reason);
@@ -118,7 +125,7 @@
     const route* m_route = nullptr;
     const service* m_service = nullptr;
     const client_account* m_account = nullptr;
-    std::uint64_t m_fingerprint = 0;
+    std::vector<request_trait> m_traits;
     std::uint64_t m_number = 0;
     bool m_ended = false;
     attempt_history m_history;
--- a/src/serving/exchange_attempts.cpp
+++ b/src/serving/exchange_attempts.cpp
@@ -37,6 +37,9 @@
 // Retry-After when the servers' KV memory is full: about the time that the
 // answer to a long prompt takes.
 constexpr duration retry_after_out_of_memory = std::chrono::milliseconds(1'500);
+// A stream with this many events goes on: an engine that crashes as it begins to
+// answer may still send the first.
+constexpr std::size_t events_of_sound_stream = 2;
 // The low bits of a work number count the attempts of one request.
 constexpr unsigned attempt_bits = 8;
 constexpr std::uint64_t attempt_mask = (1U << attempt_bits) - 1;
@@ -274,8 +277,15 @@
     if (events.empty()) {
         return;
     }
-    m_attempt->events_received += events.size();
     m_attempt->last_event_at = m_state.timers.now();
+    if (m_attempt->events_received == 0) {
+        m_attempt->first_event_at = m_attempt->last_event_at;
+    }
+    const bool was_sound = m_attempt->events_received >= events_of_sound_stream;
+    m_attempt->events_received += events.size();
+    if (!was_sound && m_attempt->events_received >= events_of_sound_stream) {
+        note_sound(m_attempt->first_event_at);
+    }
     m_state.load.on_stream_event(m_attempt->server, m_attempt->last_event_at);
     if (!m_attempt->prefill_done_announced) {
         m_attempt->prefill_done_announced = true;
@@ -318,7 +328,7 @@
             return;
         }
         m_state.servers.report_success(current.server);
-        m_state.guard.on_completed(m_fingerprint);
+        note_sound(current.events_received > 0 ? current.first_event_at : m_state.timers.now());
         if (!m_history.answer_begun) {
             m_history.answer_begun = true;
             m_sink->begin_stream(current.answer.head);
@@ -343,7 +353,7 @@
         return;
     }
     m_state.servers.report_success(current.server);
-    m_state.guard.on_completed(m_fingerprint);
+    note_sound(m_state.timers.now());
     const auto answer = current.answer;
     end_attempt();
     send_answer(answer);
@@ -357,17 +367,28 @@
         handle_outcome(attempt_not_sent{}, failure_reason(failure));
         return;
     }
-    if (std::holds_alternative<answer_missing>(failure)) {
-        // The request may have crashed the server. The guard blocks a request
-        // after several such crashes in a row.
-        m_state.guard.on_server_death(m_fingerprint, m_state.timers.now());
-        if (m_state.notices.on_request_death) {
-            m_state.notices.on_request_death(m_fingerprint, m_state.guard.deaths(m_fingerprint, m_state.timers.now()));
-        }
+    const auto* missing = std::get_if<answer_missing>(&failure);
+    if (missing != nullptr && missing->ended_by_server && m_attempt->events_received < events_of_sound_stream) {
+        note_crash();
     }
     handle_outcome(attempt_outcome_unknown{}, failure_reason(failure));
 }
 
+void exchange::note_sound(time_point began) {
+    if (m_state.crashes.on_sound_request(m_traits, began, m_state.timers.now()) && m_state.notices.on_sound_request) {
+        m_state.notices.on_sound_request(m_traits, began);
+    }
+}
+
+void exchange::note_crash() {
+    const auto& server = m_attempt->placed.primary;
+    const auto now = m_state.timers.now();
+    const crash_observation crash{make_server_run(server.id.value, server.started_at_unix_ms), now, m_traits};
+    if (m_state.crashes.on_crash(crash, now) && m_state.notices.on_crash) {
+        m_state.notices.on_crash(crash);
+    }
+}
+
 void exchange::on_silence_timeout() {
     if (!m_attempt) {
         return;
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -40,9 +40,10 @@
 // Time limit of a call to another daemon.
 constexpr duration peer_call_timeout = std::chrono::milliseconds(800);
 // Counters that are exported as zero before their first event.
-constexpr std::array<std::string_view, 10> counter_names{
-    "requests_received",  "requests_answered", "requests_refused", "requests_failed",   "requests_cut_off",
-    "requests_cancelled", "attempts_failed",   "server_reports",   "datagrams_ignored", "datagrams_unsent"};
+constexpr std::array<std::string_view, 11> counter_names{"requests_received",  "requests_blocked", "requests_answered",
+                                                         "requests_refused",   "requests_failed",  "requests_cut_off",
+                                                         "requests_cancelled", "attempts_failed",  "server_reports",
+                                                         "datagrams_ignored",  "datagrams_unsent"};
 constexpr std::string_view changes_path = "/v1/changes";
 // Upper bound of the random delay before a daemon asks a peer for changes.
 constexpr duration max_catch_up_delay = std::chrono::milliseconds(120);
@@ -95,7 +96,10 @@
     m_state.notices.on_daemon_status = [this](const daemon_status& peer) { on_daemon_status(peer); };
     m_state.notices.on_work = [this](const work_update& update) { m_peers.send_work(update); };
     m_state.notices.on_server_failure = [this](const server_name& server) { m_peers.send_trouble(server); };
-    m_state.notices.on_request_death = [this](std::uint64_t print, int deaths) { m_peers.send_death(print, deaths); };
+    m_state.notices.on_crash = [this](const crash_observation& crash) { m_peers.send_crash(crash); };
+    m_state.notices.on_sound_request = [this](std::span<const request_trait> traits, time_point began) {
+        m_peers.send_sound_request(traits, began);
+    };
 }
 
 // Pending handlers on the loop refer to this object's state, so the destructor
@@ -155,6 +159,7 @@
     m_state.timers.every(housekeeping_period, [this] {
         m_state.pool.expire();
         m_state.load.drop_expired(m_state.timers.now());
+        log_new_blocks();
         std::erase_if(m_sessions, [](const auto& session) { return session.expired(); });
     });
     log_line("started")
@@ -413,11 +418,24 @@
 http_answer gateway::answer_metrics(const http_request& /*request*/) {
     m_state.counters.set_gauge("open_requests", m_state.open_requests);
     m_state.counters.set_gauge("known_servers", static_cast<double>(m_state.servers.size()));
+    m_state.counters.set_gauge("blocked_traits",
+                               static_cast<double>(m_state.crashes.count_active_blocks(m_state.timers.now())));
     m_state.counters.set_gauge("live_daemons", m_state.daemons.senders());
     m_state.counters.set_counter("server_connections_opened", static_cast<std::int64_t>(m_state.pool.opened()));
     return {{200, {}, {{"Content-Type", "text/plain; version=0.0.4"}}}, m_state.counters.text().toStdString()};
 }
 
+void gateway::log_new_blocks() {
+    for (const auto& block : m_state.crashes.take_new_blocks()) {
+        log_line("requests blocked that crash servers")
+            .add("traits", block.traits.size())
+            .add("first_trait", block.traits.front())
+            .add("round", block.round)
+            .add("for_ms", block.expires - m_state.timers.now())
+            .warn();
+    }
+}
+
 // ---- signals, reload and shutdown ----
 
 void gateway::wait_for_signals() {
--- a/src/serving/gateway.hpp
+++ b/src/serving/gateway.hpp
@@ -48,6 +48,7 @@
     void fetch_changes();
     void update_store_reader();
     void reload();
+    void log_new_blocks();
     void wait_for_signals();
     void begin_stop();
     void continue_stop();
--- a/src/serving/gateway_state.hpp
+++ b/src/serving/gateway_state.hpp
@@ -4,7 +4,7 @@
 
 #include "active_role.hpp"
 #include "connection_pool.hpp"
-#include "crashing_request_guard.hpp"
+#include "crash_attribution.hpp"
 #include "daemon_view.hpp"
 #include "engine_load.hpp"
 #include "http_client.hpp"
@@ -35,13 +35,14 @@
     duration lifetime{};
 };
 
-// Callbacks for what other daemons should learn (on_work, on_server_failure,
-// on_request_death) and for the statuses they send. Each may be empty.
+// Callbacks for what other daemons should learn (on_work, on_server_failure, on_crash,
+// on_sound_request) and for the statuses they send. Each may be empty.
 struct peer_notices {
     std::function<void(const daemon_status&)> on_daemon_status;
     std::function<void(const work_update&)> on_work;
     std::function<void(const server_name&)> on_server_failure;
-    std::function<void(std::uint64_t fingerprint, int deaths)> on_request_death;
+    std::function<void(const crash_observation&)> on_crash;
+    std::function<void(std::span<const request_trait>, time_point began)> on_sound_request;
 };
 
 struct gateway_state {
@@ -78,7 +79,7 @@
     placer placing;
     send_pacer pacer;
     retry_budget_share repeats;
-    crashing_request_guard guard;
+    crash_attribution crashes;
     daemon_view daemons;
     active_role role;
     peer_notices notices;
--- a/src/serving/peer_link.cpp
+++ b/src/serving/peer_link.cpp
@@ -61,6 +61,24 @@
     }
 }
 
+template <class Message>
+std::vector<request_trait> traits_of(const Message& message) {
+    return {message.traits().begin(), message.traits().end()};
+}
+
+void fill_crash(wire::ServerCrash& message, const crash_observation& crash, time_point now) {
+    message.set_server_run(crash.server_run);
+    message.set_age_ms(milliseconds_of(now - crash.at));
+    message.mutable_traits()->Add(crash.traits.begin(), crash.traits.end());
+}
+
+void fill_block(wire::TraitBlock& message, const trait_block& block, time_point now) {
+    message.mutable_traits()->Add(block.traits.begin(), block.traits.end());
+    message.set_round(block.round);
+    message.set_cleared(block.cleared);
+    message.set_expires_in_ms(milliseconds_of(block.expires - now));
+}
+
 work_item item_of(const wire::WorkItem& message) {
     work_item item;
     item.server = server_name(message.server());
@@ -158,8 +176,26 @@
                                 static_cast<std::int64_t>(report.held_tokens()), report.pace()},
                                now);
     }
+    handle_crash_knowledge(datagram, now);
+}
+
+void peer_link::handle_crash_knowledge(const wire::Datagram& datagram, time_point now) {
+    for (const auto& sound : datagram.sound_requests()) {
+        m_state.crashes.on_sound_request(traits_of(sound), now - std::chrono::milliseconds(sound.age_ms()), now);
+    }
+    for (const auto& block : datagram.blocks()) {
+        m_state.crashes.on_reported_block(
+            {traits_of(block), block.round(), block.cleared(), now + std::chrono::milliseconds(block.expires_in_ms())},
+            now);
+    }
+    for (const auto& crash : datagram.crashes()) {
+        m_state.crashes.on_crash(
+            {crash.server_run(), now - std::chrono::milliseconds(crash.age_ms()), traits_of(crash)}, now);
+    }
     for (const auto& death : datagram.deaths()) {
-        m_state.guard.on_reported_deaths(death.fingerprint(), static_cast<int>(death.deaths()), now);
+        if (death.deaths() >= crashes_to_block) {
+            m_state.crashes.on_reported_block({{death.fingerprint()}, 1, false, now + block_time}, now);
+        }
     }
 }
 
@@ -199,10 +235,31 @@
     const auto now = m_state.timers.now();
     wire::Datagram datagram;
     fill_status(*datagram.mutable_status(), m_own_status());
+    add_crash_knowledge(datagram, now);
     send(datagram, m_state.role.heartbeat_targets_in_zone(now));
     send(datagram, m_state.role.heartbeat_targets_elsewhere(now));
 }
 
+void peer_link::add_crash_knowledge(wire::Datagram& datagram, time_point now) {
+    const auto blocks = m_state.crashes.list_blocks(now);
+    std::size_t added = 0;
+    for (; added < blocks.size(); ++added) {
+        fill_block(*datagram.add_blocks(), blocks[(m_first_block + added) % blocks.size()], now);
+        if (datagram.ByteSizeLong() > max_datagram_bytes) {
+            datagram.mutable_blocks()->RemoveLast();
+            break;
+        }
+    }
+    m_first_block = added < blocks.size() ? (m_first_block + added) % blocks.size() : 0;
+    for (const auto& crash : m_state.crashes.list_recent_crashes(now)) {
+        fill_crash(*datagram.add_crashes(), crash, now);
+        if (datagram.ByteSizeLong() > max_datagram_bytes) {
+            datagram.mutable_crashes()->RemoveLast();
+            return;
+        }
+    }
+}
+
 void peer_link::relay_statuses() {
     const auto now = m_state.timers.now();
     std::vector<std::string> standby;
@@ -264,10 +321,15 @@
     schedule_flush();
 }
 
-void peer_link::send_death(std::uint64_t fingerprint, int deaths) {
-    auto& death = *m_batch->add_deaths();
-    death.set_fingerprint(fingerprint);
-    death.set_deaths(static_cast<std::uint32_t>(deaths));
+void peer_link::send_crash(const crash_observation& crash) {
+    fill_crash(*m_batch->add_crashes(), crash, m_state.timers.now());
+    schedule_flush();
+}
+
+void peer_link::send_sound_request(std::span<const request_trait> traits, time_point began) {
+    auto& message = *m_batch->add_sound_requests();
+    message.mutable_traits()->Add(traits.begin(), traits.end());
+    message.set_age_ms(milliseconds_of(m_state.timers.now() - began));
     schedule_flush();
 }
 
--- a/src/serving/peer_link.hpp
+++ b/src/serving/peer_link.hpp
@@ -47,12 +47,17 @@
     void send_work(const work_update& update);
     void send_trouble(const server_name& server);
     void send_report(const server_report& report);
-    void send_death(std::uint64_t fingerprint, int deaths);
+    void send_crash(const crash_observation& crash);
+    void send_sound_request(std::span<const request_trait> traits, time_point began);
 
 private:
     void receive();
     void handle_datagram(std::size_t size);
     void handle_status(const daemon_status& status, time_point heard_at, bool is_relayed);
+    void handle_crash_knowledge(const wire::Datagram& datagram, time_point now);
+    // Adds the known blocks and recent crashes, as far as the datagram has room. Daemons
+    // that start or missed a datagram learn them from the heartbeats of any other.
+    void add_crash_knowledge(wire::Datagram& datagram, time_point now);
     void apply_work_update(std::uint64_t boot, const wire::WorkUpdate& update);
     // Sends the batched updates at once if they fill half a datagram, else after
     // the batching delay.
@@ -75,6 +80,8 @@
     std::unique_ptr<wire::Datagram> m_batch;
     std::string m_own_address;
     bool m_flush_scheduled = false;
+    // Where the next heartbeat begins in the list of blocks, if not all have room.
+    std::size_t m_first_block = 0;
 };
 
 }  // namespace verbenahold::serving
--- a/src/serving/server_connection.cpp
+++ b/src/serving/server_connection.cpp
@@ -160,10 +160,10 @@
             handle_progress(progress);
             return;
         }
-        fail(answer_missing{m_parser.fault()});
+        fail(answer_missing{m_parser.fault(), true});
         return;
     }
-    fail(answer_missing{error.message()});
+    fail(answer_missing{error.message(), error == boost::asio::error::connection_reset});
 }
 
 void server_connection::handle_progress(answer_parser::progress progress) {
@@ -197,7 +197,7 @@
 void server_connection::finish() {
     if (m_skipping) {
         if (!m_parser.keep_alive()) {
-            fail(answer_missing{"the connection ended after another request's answer"});
+            fail(answer_missing{"the connection ended after another request's answer", false});
             return;
         }
         m_skipping = false;
--- a/src/serving/server_connection.hpp
+++ b/src/serving/server_connection.hpp
@@ -20,6 +20,9 @@
 // The answer is missing or incomplete. The request may have been run.
 struct answer_missing {
     std::string reason;
+    // The server, or its host, ended the connection; otherwise bytes were lost on the
+    // way.
+    bool ended_by_server = false;
 };
 // The received bytes are no valid answer.
 struct answer_broken {
--- /dev/null
+++ b/test/correctness/core_crash_attribution.cpp
@@ -0,0 +1,198 @@
+// Tests which requests are held responsible for servers that crash. Guards against
+// harmful requests that go unrecognized because no two are alike or because each daemon
+// sees few of them, and against blocking sound ones that share nearly everything with
+// them.
+#include "crash_attribution.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <random>
+
+using namespace verbenahold;
+using namespace verbenahold::serving;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr request_trait shared = 1;
+constexpr request_trait deadly = 2;
+constexpr request_trait harmless = 3;
+
+time_point at(duration since_start) {
+    return time_point(1h + since_start);
+}
+
+// The trait of a request as a whole.
+request_trait own(int number) {
+    return 1'000U + static_cast<request_trait>(number);
+}
+
+using traits = std::vector<request_trait>;
+
+// Servers crash one after the other on different requests with the deadly part.
+void crash_servers(crash_attribution& daemon, int count, const traits& others = {shared}) {
+    for (int number = 0; number < count; ++number) {
+        traits lost{own(number), deadly};
+        lost.insert(lost.end(), others.begin(), others.end());
+        daemon.on_crash({static_cast<std::uint64_t>(100 + number), at(number * 1s), lost}, at(number * 1s));
+    }
+}
+
+}  // namespace
+
+TEST_CASE("a repeated request is blocked after several crashes, at every daemon that knows, until it is answered") {
+    const auto print = trait_of_request("account", "/path", "body");
+    CHECK(print != trait_of_request("account", "/path", "other"));
+    CHECK(print != trait_of_request("other", "/path", "body"));
+    crash_attribution first;
+    const traits lost{print};
+    for (int crash = 1; crash < crashes_to_block; ++crash) {
+        first.on_crash({static_cast<std::uint64_t>(crash), at(crash * 1s), lost}, at(crash * 1s));
+        CHECK_FALSE(first.is_blocked(lost, at(crash * 1s)));
+    }
+    first.on_crash({9, at(5s), lost}, at(5s));
+    CHECK(first.is_blocked(lost, at(5s)));
+    CHECK_FALSE(first.is_blocked(lost, at(5s) + block_time + 1s));
+
+    crash_attribution other;
+    for (const auto& block : first.list_blocks(at(6s))) {
+        other.on_reported_block(block, at(6s));
+    }
+    CHECK(other.is_blocked(lost, at(6s)));
+    CHECK(other.on_sound_request(lost, at(7s), at(7s)));
+    CHECK_FALSE(other.is_blocked(lost, at(7s)));
+    // The daemon that blocked it learns that too.
+    for (const auto& block : other.list_blocks(at(8s))) {
+        first.on_reported_block(block, at(8s));
+    }
+    CHECK_FALSE(first.is_blocked(lost, at(8s)));
+}
+
+TEST_CASE("different requests are blocked by the part that they share, sound ones that share the rest are not") {
+    crash_attribution daemon;
+    crash_servers(daemon, 2);
+    daemon.on_sound_request(traits{own(50), shared, harmless}, at(1'500ms), at(1'500ms));
+    CHECK_FALSE(daemon.is_blocked(traits{own(60), shared, deadly}, at(2s)));
+    crash_servers(daemon, 4);
+    CHECK(daemon.is_blocked(traits{own(61), shared, deadly}, at(4s)));
+    CHECK(daemon.is_blocked(traits{own(61), deadly, 77}, at(4s)));
+    CHECK_FALSE(daemon.is_blocked(traits{own(62), shared, harmless}, at(4s)));
+    CHECK_FALSE(daemon.is_blocked(traits{own(62), shared}, at(4s)));
+}
+
+TEST_CASE("parts that only came together are blocked together, and apart once one of them is known to be sound") {
+    crash_attribution daemon;
+    crash_servers(daemon, 3);
+    CHECK(daemon.is_blocked(traits{own(1), shared, deadly}, at(4s)));
+    CHECK_FALSE(daemon.is_blocked(traits{own(1), shared}, at(4s)));
+    CHECK_FALSE(daemon.is_blocked(traits{own(1), deadly}, at(4s)));
+    daemon.on_sound_request(traits{own(2), shared}, at(5s), at(5s));
+    CHECK(daemon.is_blocked(traits{own(1), deadly}, at(6s)));
+    CHECK_FALSE(daemon.is_blocked(traits{own(1), shared}, at(6s)));
+}
+
+TEST_CASE("a harmful request that was tried several times does not hide what others share with it") {
+    crash_attribution daemon;
+    const traits first{own(1), shared, deadly};
+    for (std::uint64_t run = 1; run <= 3; ++run) {
+        daemon.on_crash({run, at(run * 1s), first}, at(run * 1s));
+    }
+    CHECK(daemon.is_blocked(first, at(4s)));
+    CHECK_FALSE(daemon.is_blocked(traits{own(2), shared, deadly}, at(4s)));
+    daemon.on_sound_request(traits{own(9), shared, harmless}, at(5s), at(5s));
+    daemon.on_crash({4, at(6s), traits{own(2), shared, deadly}}, at(6s));
+    CHECK(daemon.is_blocked(traits{own(3), deadly}, at(7s)));
+    CHECK_FALSE(daemon.is_blocked(traits{own(3), shared}, at(7s)));
+}
+
+TEST_CASE("two harmful parts at once are both blocked") {
+    crash_attribution daemon;
+    constexpr request_trait second_deadly = 4;
+    for (std::uint64_t run = 1; run <= 8; ++run) {
+        const auto part = run % 2 == 0 ? deadly : second_deadly;
+        daemon.on_crash({run, at(run * 1s), traits{own(static_cast<int>(run)), shared, part}}, at(run * 1s));
+        daemon.on_sound_request(traits{own(90), shared, harmless}, at(run * 1s + 500ms), at(run * 1s + 500ms));
+    }
+    CHECK(daemon.is_blocked(traits{own(61), shared, deadly}, at(9s)));
+    CHECK(daemon.is_blocked(traits{own(61), shared, second_deadly}, at(9s)));
+    CHECK_FALSE(daemon.is_blocked(traits{own(61), shared, harmless}, at(9s)));
+}
+
+TEST_CASE("requests that were lost beside the harmful one are not held responsible") {
+    crash_attribution daemon;
+    // The bystanders are always there, and no server answered one since.
+    crash_servers(daemon, 3);
+    daemon.on_sound_request(traits{own(50), shared}, at(2'500ms), at(2'500ms));
+    daemon.on_crash({200, at(3s), traits{own(51), shared, deadly}}, at(3s));
+    REQUIRE(daemon.is_blocked(traits{own(60), deadly}, at(4s)));
+    for (std::uint64_t run = 300; run < 306; ++run) {
+        const auto when = at(static_cast<int>(run - 300) * 1s + 5s);
+        daemon.on_crash({run, when, traits{own(70), deadly}}, when);
+        daemon.on_crash({run, when, traits{own(71), harmless}}, when);
+    }
+    CHECK_FALSE(daemon.is_blocked(traits{own(72), harmless}, at(20s)));
+}
+
+TEST_CASE("servers that are lost at the same moment block no request, however popular its part") {
+    crash_attribution daemon;
+    for (std::uint64_t run = 0; run < 60; ++run) {
+        const auto when = at(std::chrono::microseconds(run * 1'000));
+        daemon.on_crash({run, when, traits{own(static_cast<int>(run)), shared, harmless}}, when);
+    }
+    CHECK_FALSE(daemon.is_blocked(traits{own(99), shared, harmless}, at(1s)));
+}
+
+TEST_CASE("a part that was deadly once more after its block expired is blocked at once") {
+    crash_attribution daemon;
+    crash_servers(daemon, 3, {});
+    const auto later = at(2s) + block_time + 1min;
+    CHECK_FALSE(daemon.is_blocked(traits{own(1), deadly}, later));
+    daemon.on_crash({500, later, traits{own(1), deadly}}, later);
+    CHECK(daemon.is_blocked(traits{own(2), deadly}, later));
+}
+
+TEST_CASE("daemons agree on what is blocked in whatever order and however often they hear of crashes") {
+    const auto seed = GENERATE(range(1U, 21U));
+    CAPTURE(seed);
+    std::mt19937 random(seed);
+    std::vector<crash_observation> seen;
+    for (std::uint64_t run = 1; run <= 6; ++run) {
+        seen.push_back({run, at(run * 1s), traits{own(static_cast<int>(run)), shared, deadly}});
+        seen.push_back({run, at(run * 1s), traits{own(static_cast<int>(run) + 50), shared, 20U + run % 2}});
+    }
+    std::vector<crash_attribution> daemons(5);
+    for (auto& daemon : daemons) {
+        auto heard = seen;
+        heard.insert(heard.end(), seen.begin(), seen.begin() + 4);
+        std::shuffle(heard.begin(), heard.end(), random);
+        for (const auto& crash : heard) {
+            daemon.on_crash(crash, at(7s));
+        }
+        daemon.on_sound_request(traits{own(90), shared, 20, 21}, at(8s), at(8s));
+    }
+    // One starts later and hears only what the others say.
+    crash_attribution late;
+    for (const auto& block : daemons.front().list_blocks(at(9s))) {
+        late.on_reported_block(block, at(9s));
+    }
+    daemons.push_back(late);
+    for (const auto& daemon : daemons) {
+        CHECK(daemon.is_blocked(traits{own(91), shared, deadly}, at(9s)));
+        CHECK_FALSE(daemon.is_blocked(traits{own(91), shared, 20}, at(9s)));
+        CHECK_FALSE(daemon.is_blocked(traits{own(91), shared}, at(9s)));
+    }
+}
+
+TEST_CASE("what is kept of crashes and sound requests is bounded") {
+    crash_attribution daemon;
+    for (int number = 0; number < 100'000; ++number) {
+        const auto when = at(number * 1ms);
+        daemon.on_sound_request(traits{own(number), shared}, when, when);
+        if (number % 50 == 0) {
+            daemon.on_crash({static_cast<std::uint64_t>(number), when, traits{own(-number)}}, when);
+        }
+    }
+    CHECK(daemon.list_recent_crashes(at(100s)).size() <= max_crashes);
+    CHECK(daemon.list_blocks(at(100s)).empty());
+}
--- a/test/correctness/core_serving_limits.cpp
+++ b/test/correctness/core_serving_limits.cpp
@@ -1,7 +1,5 @@
-// Guards against overloading cold servers, exceeding the shared retry budget,
-// retrying a request that crashes its servers without end, and keeping daemons
-// that have died.
-#include "crashing_request_guard.hpp"
+// Guards against overloading cold servers, exceeding the shared retry budget and
+// keeping daemons that have died.
 #include "daemon_view.hpp"
 #include "retry_budget_share.hpp"
 #include "send_pacer.hpp"
@@ -83,26 +81,6 @@
     CHECK(repeats > 0);
 }
 
-TEST_CASE("a request is blocked after several server deaths, at every daemon that knows, until it completes") {
-    const auto print = request_fingerprint("account", "/path", "body");
-    CHECK(print != request_fingerprint("account", "/path", "other"));
-    CHECK(print != request_fingerprint("other", "/path", "body"));
-    crashing_request_guard guard;
-    for (int death = 1; death < deaths_to_block; ++death) {
-        guard.on_server_death(print, at(1s));
-        CHECK_FALSE(guard.is_blocked(print, at(1s)));
-    }
-    guard.on_server_death(print, at(2s));
-    CHECK(guard.is_blocked(print, at(2s)));
-    CHECK_FALSE(guard.is_blocked(print, at(2s) + death_retention + 1s));
-
-    crashing_request_guard other;
-    other.on_reported_deaths(print, deaths_to_block, at(2s));
-    CHECK(other.is_blocked(print, at(2s)));
-    other.on_completed(print);
-    CHECK_FALSE(other.is_blocked(print, at(2s)));
-}
-
 TEST_CASE("a daemon without heartbeats is dead after the timeout and its boot is returned once") {
     daemon_view view;
     daemon_status status;
