Test harmful requests at daemons that start late, stand by or lose all servers at once

Cause: the word of a crash must reach every host that callers may use. Change: three tests with processes' daemons between stand-ins, servers that end by reset or by close.

--- a/test/error/serving_crashing_requests.cpp
+++ b/test/error/serving_crashing_requests.cpp
@@ -31,12 +31,14 @@
 // several daemons.
 class crashing_rig : public serving_rig {
 public:
-    explicit crashing_rig(std::vector<std::string> hosts) : m_hosts(std::move(hosts)) {
+    explicit crashing_rig(std::vector<std::string> hosts, std::size_t zone_count = 1) : m_hosts(std::move(hosts)) {
+        zones = zone_count;
         for (int number = 0; number < server_count; ++number) {
             add_server("i-" + std::to_string(number), [this](const auto& request, const auto& session) {
-                if (is_deadly(request) && is_harmful) {
-                    ++harmful_requests;
-                    session->reset();
+                if (loses_all || is_deadly(request)) {
+                    harmful_requests += is_deadly(request) ? 1 : 0;
+                    // A server that crashes resets its connections or just ends them.
+                    ends_by_reset ? session->reset() : session->close();
                     return;
                 }
                 session->write(stream_head(request));
@@ -67,23 +69,27 @@
         run_until([&] { return has_answer(caller); });
         return caller.received().starts_with("HTTP/1.1 200");
     }
-    // Sends harmful and sound requests by turns to all hosts until `crashes` servers
-    // have ended.
-    void crash_servers(int crashes) {
-        for (std::size_t turn = 0; harmful_requests < crashes && turn < 100; ++turn) {
-            is_served(m_hosts[turn % m_hosts.size()], deadly_part);
+    // Sends harmful and sound requests by turns to the hosts until `crashes` servers
+    // have ended, or harmful ones don't reach servers any more.
+    void crash_servers(int crashes) { crash_servers(crashes, m_hosts); }
+    void crash_servers(int crashes, const std::vector<std::string>& hosts) {
+        for (std::size_t turn = 0; harmful_requests < crashes && turn < max_turns; ++turn) {
+            is_served(hosts[turn % hosts.size()], deadly_part);
             run_for(time_between_requests);
-            is_served(m_hosts[turn % m_hosts.size()], "50f7");
+            is_served(hosts[turn % hosts.size()], "50f7");
         }
     }
 
     [[nodiscard]] bool all_ready() const { return m_all_ready; }
 
     int harmful_requests = 0;
-    bool is_harmful = true;
+    // Servers end whatever they are asked.
+    bool loses_all = false;
+    bool ends_by_reset = true;
 
 private:
     static constexpr int server_count = 12;
+    static constexpr std::size_t max_turns = 12;
     static constexpr duration settling_time = 700ms;
     static constexpr duration time_between_requests = 150ms;
 
@@ -98,6 +104,7 @@
 
 TEST_CASE("different requests that share a part which crashes servers are kept from them at every daemon") {
     crashing_rig rig(three_hosts);
+    rig.ends_by_reset = GENERATE(true, false);
     REQUIRE(rig.all_ready());
     rig.crash_servers(5);
     const int before = rig.harmful_requests;
@@ -118,3 +125,60 @@
         CHECK(rig.is_served(host, "50f8"));
     }
 }
+
+TEST_CASE("a daemon that starts after the crashes, or again, keeps harmful requests from servers") {
+    const std::string started = GENERATE("host-2", "host-9");
+    CAPTURE(started);
+    crashing_rig rig(three_hosts);
+    REQUIRE(rig.all_ready());
+    rig.crash_servers(5);
+    rig.start_daemon(started);
+    REQUIRE(rig.run_until_ready(started));
+    rig.run_for(2 * heartbeat_period);
+    const int before = rig.harmful_requests;
+    for (int turn = 0; turn < 6; ++turn) {
+        CHECK_FALSE(rig.is_served(started, deadly_part));
+    }
+    CHECK(rig.harmful_requests - before <= max_harmful_requests);
+    CHECK(rig.is_served(started, "50f7"));
+}
+
+TEST_CASE("hosts that stand by keep harmful requests from servers, and tell active hosts of crashes") {
+    const std::vector<std::string> hosts{"host-1", "host-2", "host-3", "host-4", "host-5"};
+    // Of five hosts of equal size those with the first names are active.
+    const std::vector<std::string> active(hosts.begin(), hosts.begin() + 3);
+    const std::vector<std::string> standby(hosts.begin() + 3, hosts.end());
+    const bool learned_by_active = GENERATE(true, false);
+    CAPTURE(learned_by_active);
+    crashing_rig rig(hosts, min_active_hosts / min_active_hosts_per_zone);
+    REQUIRE(rig.all_ready());
+    rig.run_for(2s);
+    REQUIRE(rig.ask_directory("host-1").find(rig.settings(standby.front()).front_address) == std::string::npos);
+    rig.crash_servers(5, learned_by_active ? active : standby);
+    // The heartbeats of three periods reach hosts that stand by.
+    rig.run_for(4 * heartbeat_period);
+    const int before = rig.harmful_requests;
+    for (const auto& host : hosts) {
+        CHECK_FALSE(rig.is_served(host, deadly_part));
+        CHECK(rig.is_served(host, "50f7"));
+    }
+    CHECK(rig.harmful_requests - before <= max_harmful_requests);
+}
+
+TEST_CASE("sound requests are served on after all servers were lost at once, whatever they share") {
+    crashing_rig rig(three_hosts);
+    REQUIRE(rig.all_ready());
+    rig.loses_all = true;
+    std::vector<scripted_caller*> callers;
+    for (int turn = 0; turn < 24; ++turn) {
+        callers.push_back(&rig.ask(three_hosts[static_cast<std::size_t>(turn) % three_hosts.size()], "50f7"));
+    }
+    REQUIRE(rig.run_until(
+        [&] { return std::all_of(callers.begin(), callers.end(), [](auto* c) { return has_answer(*c); }); }));
+    rig.loses_all = false;
+    // Servers that failed are left alone for a moment.
+    rig.run_for(first_ejection_time);
+    for (const auto& host : three_hosts) {
+        CHECK(rig.is_served(host, "50f7"));
+    }
+}
