Hold prompts in the core that begin with a text which crashes servers

What callers would see: each new prompt with the same harmful beginning ends two servers before it is held, without end.

Cause: as in the serving daemon, crash_evidence knew a request as a whole only. Change: the owner tells it which prompts a dead server had not begun to answer and which were begun; crash_attribution, the same code as the serving daemon's, finds the longest prefix that is responsible, and the existing strikes and their gossip hold it. A request that has not run is refused with ran: no.

--- a/src/core/caller_side.cpp
+++ b/src/core/caller_side.cpp
@@ -93,6 +93,11 @@
                "servers died while they ran this request; it is held for now", ctx);
         return;
     }
+    if (ctx.evidence.is_blocked(opened.submission.prefix_hashes, ctx.now)) {
+        refuse(opened, refusal::request_crashes_servers, ran_state::no,
+               "servers died on prompts that begin like this one; it is held for now", ctx);
+        return;
+    }
     opened.submission.run_alone = strikes > 0;
     opened.charged_tokens =
         static_cast<double>(opened.submission.uncached_tokens + opened.submission.predicted_output_tokens);
--- a/src/core/caller_side_attempts.cpp
+++ b/src/core/caller_side_attempts.cpp
@@ -63,8 +63,10 @@
     ctx.out.push_back(count{"attempts_bounced"});
     switch (message.reason) {
         case bounce_reason::suspected_of_crashing:
-            refuse(*request, refusal::request_crashes_servers, ran_state::yes,
-                   "servers died while they ran this request; it is held for now", ctx);
+            refuse(*request, refusal::request_crashes_servers,
+                   ctx.evidence.is_blocked(request->submission.prefix_hashes, ctx.now) ? ran_so_far(*request)
+                                                                                       : ran_state::yes,
+                   "servers died while they ran this request or one like it; it is held for now", ctx);
             return;
         case bounce_reason::no_headroom:
         case bounce_reason::deadline_too_short:
--- a/src/core/crash_evidence.cpp
+++ b/src/core/crash_evidence.cpp
@@ -44,6 +44,34 @@
     found->second = entry{0, m_now + strike_lifetime};
 }
 
+void crash_evidence::on_prompt_lost(const server_name& server, std::span<const std::uint64_t> prefix_hashes,
+                                    time_point now) {
+    m_now = std::max(m_now, now);
+    // Only the server's owner reports its death, once.
+    const auto run = serving::make_server_run(server.value, now.time_since_epoch().count());
+    m_attribution.on_crash({run, now, {prefix_hashes.begin(), prefix_hashes.end()}}, now);
+    for (const auto& block : m_attribution.take_new_blocks()) {
+        // Of prefixes that can't be told apart, the longest says all.
+        const auto longest = std::find_if(prefix_hashes.rbegin(), prefix_hashes.rend(), [&](std::uint64_t hash) {
+            return std::ranges::binary_search(block.traits, hash);
+        });
+        if (longest != prefix_hashes.rend())
+            m_entries[*longest] = entry{strikes_to_refuse, block.expires};
+    }
+}
+
+void crash_evidence::on_prompt_answered(std::span<const std::uint64_t> prefix_hashes, time_point now) {
+    m_now = std::max(m_now, now);
+    m_attribution.on_sound_request(prefix_hashes, now, now);
+    for (const std::uint64_t hash : prefix_hashes)
+        on_completed(hash);
+}
+
+bool crash_evidence::is_blocked(std::span<const std::uint64_t> prefix_hashes, time_point now) const {
+    return std::ranges::any_of(prefix_hashes,
+                               [&](std::uint64_t hash) { return strikes(hash, now) >= strikes_to_refuse; });
+}
+
 void crash_evidence::on_gossip(std::span<const crash_strike> strikes, time_point now) {
     m_now = std::max(m_now, now);
     for (const crash_strike& strike : strikes) {
--- a/src/core/crash_evidence.hpp
+++ b/src/core/crash_evidence.hpp
@@ -1,8 +1,11 @@
 // Detects requests that crash servers. Each request that was running on a server
 // when it died gets a strike against its fingerprint; a request with enough
-// strikes is refused. Strikes are spread by gossip and expire.
+// strikes is refused. Prompts that differ but begin alike are recognized by their
+// prefixes, as crash_attribution decides. Strikes are spread by gossip and expire.
 #pragma once
 
+#include "crash_attribution.hpp"
+
 #include "verbenahold/messages.hpp"
 #include "verbenahold/types.hpp"
 
@@ -26,6 +29,13 @@
     void add_suspect(std::uint64_t fingerprint, time_point now);
     // Clears the strikes of a request that completed.
     void on_completed(std::uint64_t fingerprint);
+    // A server died before it had begun to answer a prompt with these prefixes, the
+    // longest last.
+    void on_prompt_lost(const server_name& server, std::span<const std::uint64_t> prefix_hashes, time_point now);
+    // A server began to answer such a prompt.
+    void on_prompt_answered(std::span<const std::uint64_t> prefix_hashes, time_point now);
+    // Whether prompts that begin like this one crash servers.
+    [[nodiscard]] bool is_blocked(std::span<const std::uint64_t> prefix_hashes, time_point now) const;
     void on_gossip(std::span<const crash_strike> strikes, time_point now);
     [[nodiscard]] std::uint8_t strikes(std::uint64_t fingerprint, time_point now) const;
     // Unexpired strikes for gossip, newest first. An entry with zero strikes says
@@ -40,7 +50,9 @@
 
     void drop_expired(time_point now);
 
+    // By fingerprint of a request, or hash of a prefix that is blocked.
     std::unordered_map<std::uint64_t, entry> m_entries;
+    serving::crash_attribution m_attribution;
     // Latest time passed to any call, for on_completed(), which gets none.
     time_point m_now{};
 };
--- a/src/core/owner_side.cpp
+++ b/src/core/owner_side.cpp
@@ -96,7 +96,8 @@
         return bounce_reason::draining;
     if (!ctx.config_confirmed)
         return bounce_reason::configuration_unconfirmed;
-    if (evidence.strikes(message.fingerprint, ctx.now) >= strikes_to_refuse)
+    if (evidence.strikes(message.fingerprint, ctx.now) >= strikes_to_refuse ||
+        evidence.is_blocked(message.prefix_hashes, ctx.now))
         return bounce_reason::suspected_of_crashing;
     const service_work& work = find_or_add_service_work(message.service, ctx);
     if (work.servers.empty() || ctx.config.find_service(message.service) == nullptr)
--- a/src/core/owner_side_dispatch.cpp
+++ b/src/core/owner_side_dispatch.cpp
@@ -134,6 +134,9 @@
         fingerprints.push_back(record->request.fingerprint);
     const bool ran_alone = lost.size() == 1 && lost.front()->runs_alone;
     evidence.on_server_death(fingerprints, ran_alone, ctx.now);
+    for (const attempt_record* record : lost)
+        if (!record->has_tokens)
+            evidence.on_prompt_lost(record->server, record->request.prefix_hashes, ctx.now);
     ctx.out.push_back(count{"owner_attempts_lost", static_cast<std::int64_t>(lost.size())});
     for (attempt_record* record : lost) {
         // The server may be alive but unreachable, and must stop the work.
--- a/src/core/owner_side_events.cpp
+++ b/src/core/owner_side_events.cpp
@@ -122,6 +122,7 @@
         costs.on_prefill(service, record.prefill_tokens, ctx.now - record.started);
         server->end_prefill(record);
         record.has_tokens = true;
+        evidence.on_prompt_answered(record.request.prefix_hashes, ctx.now);
         record.first_token = ctx.now;
         record.last_token = ctx.now;
         // The prefill budget that the prompt used is free again.
--- a/test/error/core_owner_suspects.cpp
+++ b/test/error/core_owner_suspects.cpp
@@ -62,6 +62,42 @@
     std::cout << "suspects run alone: passed\n";
 }
 
+TEST_CASE("different prompts that begin with a text that crashes servers are held, those that share less are not") {
+    constexpr std::uint64_t common = 100;
+    constexpr std::uint64_t deadly = 101;
+    owner_fixture fixture;
+    for (int number = 0; number < 8; ++number)
+        fixture.add_server("s" + std::to_string(number));
+    const auto prompt = [&](std::uint64_t second, std::uint64_t own) {
+        submit message = fixture.make_submit();
+        message.prefix_hashes = {common, second, own};
+        return message;
+    };
+    int crashes = 0;
+    std::uint64_t incarnation = 2;
+    for (std::uint64_t own = 1'000; own < 1'010; ++own) {
+        const submit harmful = fixture.send(prompt(deadly, own));
+        if (const std::string server = fixture.server_of(harmful); !server.empty()) {
+            ++crashes;
+            crash(fixture, server, incarnation++);
+        }
+        const submit sound = fixture.send(prompt(200 + own, 2'000 + own));
+        REQUIRE(!fixture.server_of(sound).empty());
+        fixture.finish(sound);
+    }
+    REQUIRE(crashes == serving::crashes_to_block);
+    const submit harmful = fixture.send(prompt(deadly, 3'000));
+    REQUIRE(fixture.answers<submit_bounced>(harmful).size() == 1);
+    REQUIRE(fixture.answers<submit_bounced>(harmful)[0].reason == bounce_reason::suspected_of_crashing);
+
+    // Other daemons learn it by gossip.
+    crash_evidence there;
+    there.on_gossip(fixture.owner.evidence().export_strikes(fixture.now), fixture.now);
+    REQUIRE(there.is_blocked(std::vector<std::uint64_t>{common, deadly, 4'000}, fixture.now));
+    REQUIRE_FALSE(there.is_blocked(std::vector<std::uint64_t>{common, 300, 4'000}, fixture.now));
+    std::cout << "prompts that begin alike are held: passed\n";
+}
+
 TEST_CASE("a clearance overrides the strike that other daemons still gossip") {
     crash_evidence here;
     crash_evidence there;
