Take a stream that ends with its connection before its first event for broken off

What callers would see: an engine that crashes after the head of a stream without length or chunks gave an empty stream that looked complete, and the request that crashed it counted as answered.

Cause: the orderly end of a connection completes such an answer, and nothing was pending in the splitter. Change: without an event it is broken off; like one that ends inside an event, it speaks against its request. Evidence: 'a stream without length or chunks is complete only if...' failed for the empty stream before (shown complete) and passes; the ones that end inside an event and after one passed before and pass.

--- a/src/serving/answer_parser.hpp
+++ b/src/serving/answer_parser.hpp
@@ -35,6 +35,8 @@
     std::string take_body();
     // The connection may carry another request.
     [[nodiscard]] bool keep_alive() const;
+    // The answer has neither a length nor chunks, so the connection's end ends it.
+    [[nodiscard]] bool ends_with_connection() const { return m_parser->need_eof(); }
     // There are bytes after the complete answer.
     [[nodiscard]] bool has_surplus() const { return !m_input.empty(); }
     // Some bytes of the answer have arrived.
--- a/src/serving/exchange.hpp
+++ b/src/serving/exchange.hpp
@@ -104,7 +104,8 @@
 
     // The server has begun to answer, at `began`, and still runs.
     void note_sound(time_point began);
-    // The server ended the connection before it had begun to answer.
+    // The server ended the connection inside the answer. Speaks against the request only
+    // if the server had not begun to answer.
     void note_crash();
     // The server that the answer names as faulty, or else the attempt's server.
     [[nodiscard]] server_name server_at_fault() const;
--- a/src/serving/exchange_attempts.cpp
+++ b/src/serving/exchange_attempts.cpp
@@ -323,8 +323,15 @@
     const int status = current.answer.head.status;
     const bool success = status >= 200 && status < 300;
     if (current.streams) {
-        if (current.events.pending() > 0) {
-            handle_outcome(attempt_outcome_unknown{}, "the stream ended inside an event");
+        // A server that crashes may end the connection in an orderly way.
+        const bool ended_with_connection = current.connection->answer_ended_with_connection();
+        const bool is_empty = current.events_received == 0 && ended_with_connection;
+        if (current.events.pending() > 0 || is_empty) {
+            if (ended_with_connection) {
+                note_crash();
+            }
+            handle_outcome(attempt_outcome_unknown{},
+                           is_empty ? "the stream ended before its first event" : "the stream ended inside an event");
             return;
         }
         m_state.servers.report_success(current.server);
@@ -368,7 +375,7 @@
         return;
     }
     const auto* missing = std::get_if<answer_missing>(&failure);
-    if (missing != nullptr && missing->ended_by_server && m_attempt->events_received < events_of_sound_stream) {
+    if (missing != nullptr && missing->ended_by_server) {
         note_crash();
     }
     handle_outcome(attempt_outcome_unknown{}, failure_reason(failure));
@@ -381,6 +388,9 @@
 }
 
 void exchange::note_crash() {
+    if (m_attempt->events_received >= events_of_sound_stream) {
+        return;
+    }
     const auto& server = m_attempt->placed.primary;
     const auto now = m_state.timers.now();
     const crash_observation crash{make_server_run(server.id.value, server.started_at_unix_ms), now, m_traits};
--- a/src/serving/server_connection.hpp
+++ b/src/serving/server_connection.hpp
@@ -57,6 +57,8 @@
     [[nodiscard]] const std::string& address() const { return m_address; }
     // The connection is open and idle, and no unexpected bytes came on it.
     [[nodiscard]] bool is_reusable() const { return m_reusable && m_socket.is_open(); }
+    // The last answer was ended by nothing but the end of the connection.
+    [[nodiscard]] bool answer_ended_with_connection() const { return m_parser.ends_with_connection(); }
     // Whether this connection carried a request before the current one.
     [[nodiscard]] bool was_used() const { return m_requests > 1; }
     // Lifetime of an idle connection that the server announced, in seconds; 0
--- a/test/error/serving_gateway.cpp
+++ b/test/error/serving_gateway.cpp
@@ -279,3 +279,25 @@
         return is_status(asking, 401);
     }));
 }
+
+TEST_CASE("a stream without length or chunks is complete only if its connection ends after an event") {
+    const std::string sent = GENERATE("", "id: 1\ndata: pie", "id: 1\ndata: piece 1\n\n");
+    CAPTURE(sent);
+    const bool is_complete = sent.ends_with("\n\n");
+    serving_rig rig;
+    const auto end_connection = [&](const http_request& request, const session_pointer& session) {
+        session->write("HTTP/1.1 200 OK\r\nVerbenahold-Attempt-Id: " +
+                       std::string(field_value(request.fields, "Verbenahold-Attempt-Id")) +
+                       "\r\nVerbenahold-Origin-Signature: proof\r\nContent-Type: text/event-stream\r\n\r\n" + sent);
+        session->close();
+    };
+    rig.add_server("i-1", end_connection);
+    rig.put_desired_state();
+    rig.start_daemon("host-1");
+    REQUIRE(rig.run_until_ready("host-1"));
+    auto& caller = rig.call("host-1", request_text("POST", "/stream/x", "a-1", "prompt"));
+    REQUIRE(rig.run_until([&] { return caller.ended() || has_answer(caller); }));
+    rig.run_until([&] { return caller.ended() || caller.received().ends_with(stream_end); });
+    const bool shown_complete = is_status(caller, 200) && caller.received().ends_with(stream_end);
+    CHECK(shown_complete == is_complete);
+}
