Read and log the limits on requests that servers state

Cause: a stated limit was passed to the caller and read by nothing, and the logs told nothing of it. Change: the field is decoded, the latest word of each server is kept, and its changes are logged; placing is as before.

--- a/src/serving/exchange.hpp
+++ b/src/serving/exchange.hpp
@@ -102,6 +102,8 @@
     void on_deadline();
     void restart_silence_timer(duration limit);
 
+    // Takes in what the answer's head says of the server's limit.
+    void note_stated_limit();
     // The server has begun to answer, at `began`, and still runs.
     void note_sound(time_point began);
     // The server ended the connection inside the answer. Speaks against the request only
--- a/src/serving/exchange_attempts.cpp
+++ b/src/serving/exchange_attempts.cpp
@@ -237,6 +237,7 @@
     }
     m_attempt->answer.head = head;
     m_attempt->decoded = decoded;
+    note_stated_limit();
     const bool success = head.status >= 200 && head.status < 300;
     m_attempt->streams = success && decoded.proved && m_route->form == answer_form::event_stream;
     return true;
@@ -381,6 +382,24 @@
     handle_outcome(attempt_outcome_unknown{}, failure_reason(failure));
 }
 
+void exchange::note_stated_limit() {
+    const auto& decoded = m_attempt->decoded;
+    // Without a limit, only an answer that is the server's own says that there is none.
+    if (decoded.wrong_server || (!decoded.requests_per_second && !decoded.proved)) {
+        return;
+    }
+    const auto now = m_state.timers.now();
+    const limit_statement statement{m_attempt->server, decoded.requests_per_second, now};
+    if (!m_state.limits.on_statement(statement, now)) {
+        return;
+    }
+    log_line("server limit changed")
+        .add("request", m_request.attempt_id)
+        .add("server", m_attempt->server.value)
+        .add("per_second", decoded.requests_per_second ? std::to_string(*decoded.requests_per_second) : "none")
+        .info();
+}
+
 void exchange::note_sound(time_point began) {
     if (m_state.crashes.on_sound_request(m_traits, began, m_state.timers.now()) && m_state.notices.on_sound_request) {
         m_state.notices.on_sound_request(m_traits, began);
--- a/src/serving/gateway_state.hpp
+++ b/src/serving/gateway_state.hpp
@@ -13,6 +13,7 @@
 #include "route_table.hpp"
 #include "send_pacer.hpp"
 #include "server_registry.hpp"
+#include "stated_limits.hpp"
 #include "serving_settings.hpp"
 #include "wire_protocol.hpp"
 
@@ -80,6 +81,7 @@
     send_pacer pacer;
     retry_budget_share repeats;
     crash_attribution crashes;
+    stated_limits limits;
     daemon_view daemons;
     active_role role;
     peer_notices notices;
--- a/src/serving/wire_protocol.hpp
+++ b/src/serving/wire_protocol.hpp
@@ -61,6 +61,9 @@
     std::string attempt_id;
     // The id or address of the faulty server; empty if not stated.
     std::string server_at_fault;
+    // Requests per second that the server takes from all daemons together; empty if
+    // it states no limit.
+    std::optional<double> requests_per_second;
 };
 
 // A caller's request to the directory for addresses to connect to.
--- a/test/correctness/serving_platform_protocol.cpp
+++ b/test/correctness/serving_platform_protocol.cpp
@@ -88,6 +88,19 @@
     CHECK(platform::decode_answer({200, "", {{"Verbenahold-Origin-Signature", "x"}}}).proved);
 }
 
+TEST_CASE("a limit that a server states is read, and one that is no amount is none") {
+    const auto limit_of = [](const std::string& value) {
+        return platform::decode_answer({200, {}, {{"Server-Limit", value}}}).requests_per_second;
+    };
+    CHECK(limit_of("3.75") == 3.75);
+    CHECK(limit_of(" 4 ") == 4);
+    CHECK(limit_of("0") == 0);
+    for (const char* value : {"", "many", "-1", "nan", "inf", "3 a second", "1e999"}) {
+        CAPTURE(value);
+        CHECK_FALSE(limit_of(value));
+    }
+}
+
 TEST_CASE("a desired state is decoded into retry rules, time limits and engine figures") {
     const auto state = platform::decode_desired_state(config_row(R"({"version":7,
         "routes":[
