Keep the limits on requests that servers state, all daemons together

Cause: a stated limit was read by nothing; and a limit that one host hears is heard by others up to 15 s later, or never, since each engine's answers reach few hosts.

Change: the latest word of each server goes to all daemons when it changes, and in heartbeats to those that stand by, start or missed it. Each daemon keeps one allowance for the server, against which it counts the requests of all daemons, its own and those that it is told of anyway. It sends from a random allowance of one to two requests on, so that waiting daemons don't send at the same moment. One that hears a part of the others only uses that part of the limit.

Why it works: the count is shared within milliseconds, and an overshoot is a debt that the next seconds pay.

--- a/src/routing/stated_limits.cpp
+++ b/src/routing/stated_limits.cpp
@@ -21,7 +21,7 @@
         if (!statement.requests_per_second) {
             return false;
         }
-        m_servers[statement.server] = {statement.requests_per_second, statement.at, 0, now};
+        m_servers[statement.server] = {statement.requests_per_second, statement.at, 0, now, draw_threshold()};
         return true;
     }
     auto& known = found->second;
@@ -38,20 +38,32 @@
     return changed;
 }
 
+double stated_limits::rate_of(const limited_server& server) const {
+    return std::max(*server.requests_per_second, min_stated_rate) * m_share;
+}
+
+double stated_limits::most_debt(const limited_server& server) const {
+    return -std::max(1.0, rate_of(server) * seconds_of(max_debt_time));
+}
+
 void stated_limits::refill(limited_server& server, time_point now) const {
-    const double rate = std::max(*server.requests_per_second, min_stated_rate) * m_share;
-    const double most = std::max(1.0, rate * seconds_of(limit_burst_time));
-    const double least = -std::max(1.0, rate * seconds_of(max_debt_time));
+    const double rate = rate_of(server);
+    const double most = std::max(min_limit_burst, rate * seconds_of(limit_burst_time));
     const double gained = rate * seconds_of(now - server.allowance_at);
-    server.allowance = std::clamp(server.allowance + gained, least, most);
+    server.allowance = std::min(server.allowance + gained, most);
     server.allowance_at = now;
 }
 
+double stated_limits::draw_threshold() {
+    return std::uniform_real_distribution<double>(1, min_limit_burst)(m_random);
+}
+
 void stated_limits::on_sent(const server_name& server, time_point now) {
     const auto found = m_servers.find(server);
     if (found != m_servers.end() && found->second.requests_per_second) {
         refill(found->second, now);
-        found->second.allowance -= 1;
+        found->second.allowance = std::max(found->second.allowance - 1, most_debt(found->second));
+        found->second.threshold = draw_threshold();
     }
 }
 
@@ -61,7 +73,7 @@
         return true;
     }
     refill(found->second, now);
-    return found->second.allowance >= 1;
+    return found->second.allowance >= found->second.threshold;
 }
 
 std::vector<limit_statement> stated_limits::list_recent(time_point now) const {
--- a/src/routing/stated_limits.hpp
+++ b/src/routing/stated_limits.hpp
@@ -7,15 +7,18 @@
 
 #include "verbenahold/types.hpp"
 
+#include <cstdint>
 #include <map>
 #include <optional>
+#include <random>
 #include <vector>
 
 namespace verbenahold::serving {
 
 // Requests that may be sent at once after a pause, as the time in which the limit allows
-// them; at least one request.
-inline constexpr duration limit_burst_time = std::chrono::milliseconds(500);
+// them; at least `min_limit_burst` of them.
+inline constexpr duration limit_burst_time = std::chrono::seconds(1);
+inline constexpr double min_limit_burst = 2;
 // A server with a lower limit is sent this many requests per second all the same: only
 // its answers tell when the limit has ended.
 inline constexpr double min_stated_rate = 0.2;
@@ -37,6 +40,9 @@
 
 class stated_limits {
 public:
+    // Daemons need different seeds.
+    explicit stated_limits(std::uint64_t seed) : m_random(seed) {}
+
     // Takes in what an answer of the server stated, heard here or at another daemon; the
     // latest counts. True if the limit changed.
     bool on_statement(const limit_statement& statement, time_point now);
@@ -63,11 +69,20 @@
         // time.
         double allowance = 0;
         time_point allowance_at{};
+        // The allowance from which on this daemon sends, 1 to 2. It differs between
+        // daemons, which otherwise would all send before they hear of each other.
+        double threshold = min_limit_burst;
     };
 
+    // Requests per second that the daemons heard here may send.
+    [[nodiscard]] double rate_of(const limited_server& server) const;
+    // The lowest allowance, however many requests were sent beyond the limit.
+    [[nodiscard]] double most_debt(const limited_server& server) const;
     void refill(limited_server& server, time_point now) const;
+    [[nodiscard]] double draw_threshold();
 
     double m_share = 1;
+    std::mt19937_64 m_random;
     std::map<server_name, limited_server> m_servers;
 };
 
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -114,7 +114,7 @@
     wanted.excluded = m_tried_servers;
     const int daemons = m_state.sharing_daemons();
     const auto may_send = [&](const server_entry& server) {
-        return m_state.pacer.may_send(server.id, *m_service, daemons, now);
+        return m_state.limits.may_send(server.id, now) && m_state.pacer.may_send(server.id, *m_service, daemons, now);
     };
     const auto result = m_state.placing.place(wanted, m_state.servers, m_state.load, may_send, now);
     if (const auto* none = std::get_if<no_placement>(&result)) {
--- a/src/serving/exchange_attempts.cpp
+++ b/src/serving/exchange_attempts.cpp
@@ -143,6 +143,7 @@
     m_tried_servers.push_back(m_attempt->server);
     m_attempt->sent_at = m_state.timers.now();
     m_state.pacer.on_sent(m_attempt->server, m_attempt->sent_at);
+    m_state.limits.on_sent(m_attempt->server, m_attempt->sent_at);
     m_attempt->connection =
         m_state.pool.take(chosen.primary.address, once ? max_idle_time_for_single_runs : default_max_idle_time);
     log_line("forwarded")
@@ -393,6 +394,9 @@
     if (!m_state.limits.on_statement(statement, now)) {
         return;
     }
+    if (m_state.notices.on_limit_changed) {
+        m_state.notices.on_limit_changed(statement);
+    }
     log_line("server limit changed")
         .add("request", m_request.attempt_id)
         .add("server", m_attempt->server.value)
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -100,6 +100,7 @@
     m_state.notices.on_sound_request = [this](std::span<const request_trait> traits, time_point began) {
         m_peers.send_sound_request(traits, began);
     };
+    m_state.notices.on_limit_changed = [this](const limit_statement& limit) { m_peers.send_limit(limit); };
 }
 
 // Pending handlers on the loop refer to this object's state, so the destructor
@@ -244,6 +245,7 @@
             line.info();
             m_state.servers.remove(server_name(row.key), last_trouble, now);
             m_state.pacer.forget(server_name(row.key));
+            m_state.limits.forget(server_name(row.key));
             continue;
         }
         const auto entry = m_state.wire.read_server(row);
@@ -258,6 +260,10 @@
             .add("address", entry->address)
             .add("version", row.version)
             .debug();
+        const auto* before = m_state.servers.find(entry->id, now);
+        if (before != nullptr && before->started_at_unix_ms != entry->started_at_unix_ms) {
+            m_state.limits.forget(entry->id);
+        }
         m_state.servers.update(*entry, now);
     }
     m_presence.announce();
@@ -420,6 +426,7 @@
     m_state.counters.set_gauge("known_servers", static_cast<double>(m_state.servers.size()));
     m_state.counters.set_gauge("blocked_traits",
                                static_cast<double>(m_state.crashes.count_active_blocks(m_state.timers.now())));
+    m_state.counters.set_gauge("limited_servers", static_cast<double>(m_state.limits.size()));
     m_state.counters.set_gauge("live_daemons", m_state.daemons.senders());
     m_state.counters.set_counter("server_connections_opened", static_cast<std::int64_t>(m_state.pool.opened()));
     return {{200, {}, {{"Content-Type", "text/plain; version=0.0.4"}}}, m_state.counters.text().toStdString()};
--- a/src/serving/gateway_state.hpp
+++ b/src/serving/gateway_state.hpp
@@ -13,12 +13,13 @@
 #include "route_table.hpp"
 #include "send_pacer.hpp"
 #include "server_registry.hpp"
-#include "stated_limits.hpp"
 #include "serving_settings.hpp"
+#include "stated_limits.hpp"
 #include "wire_protocol.hpp"
 
 #include "metrics.hpp"
 
+#include <algorithm>
 #include <memory>
 #include <random>
 
@@ -37,13 +38,14 @@
 };
 
 // Callbacks for what other daemons should learn (on_work, on_server_failure, on_crash,
-// on_sound_request) and for the statuses they send. Each may be empty.
+// on_sound_request, on_limit_changed) and for the statuses they send. Each may be empty.
 struct peer_notices {
     std::function<void(const daemon_status&)> on_daemon_status;
     std::function<void(const work_update&)> on_work;
     std::function<void(const server_name&)> on_server_failure;
     std::function<void(const crash_observation&)> on_crash;
     std::function<void(std::span<const request_trait>, time_point began)> on_sound_request;
+    std::function<void(const limit_statement&)> on_limit_changed;
 };
 
 struct gateway_state {
@@ -58,6 +60,7 @@
           placing(lateness_policy{}, boot_of_daemon),
           pacer(chosen.cold),
           repeats(chosen.repeats),
+          limits(boot_of_daemon),
           role({chosen.host.value, chosen.peer_address, chosen.zone, chosen.cores}, chosen.zones, daemons),
           random(boot_of_daemon),
           boot(boot_of_daemon) {}
@@ -73,6 +76,12 @@
     // Number of daemons by which this one divides limits that all share.
     [[nodiscard]] int sharing_daemons() { return role.sharing_daemons(daemons.recent_max_senders(timers.now())); }
 
+    // The part of all requests to servers of which this daemon hears, 0 to 1.
+    [[nodiscard]] double heard_share() {
+        const double heard = role.is_active() ? daemons.senders() : 1;
+        return std::min(1.0, heard / std::max(1, sharing_daemons()));
+    }
+
     // Null until the first desired state is known.
     std::shared_ptr<const route_table> routes;
     server_registry servers;
@@ -80,8 +89,8 @@
     placer placing;
     send_pacer pacer;
     retry_budget_share repeats;
-    crash_attribution crashes;
     stated_limits limits;
+    crash_attribution crashes;
     daemon_view daemons;
     active_role role;
     peer_notices notices;
--- a/src/serving/peer_link.cpp
+++ b/src/serving/peer_link.cpp
@@ -66,6 +66,15 @@
     return {message.traits().begin(), message.traits().end()};
 }
 
+limit_statement statement_of(const wire::LimitStatement& message, time_point now) {
+    limit_statement statement{server_name(message.server()), std::nullopt,
+                              now - std::chrono::milliseconds(message.age_ms())};
+    if (message.has_requests_per_second()) {
+        statement.requests_per_second = usable_amount(message.requests_per_second());
+    }
+    return statement;
+}
+
 void fill_crash(wire::ServerCrash& message, const crash_observation& crash, time_point now) {
     message.set_server_run(crash.server_run);
     message.set_age_ms(milliseconds_of(now - crash.at));
@@ -79,6 +88,31 @@
     message.set_expires_in_ms(milliseconds_of(block.expires - now));
 }
 
+void fill_limit(wire::LimitStatement& message, const limit_statement& limit, time_point now) {
+    message.set_server(limit.server.value);
+    if (limit.requests_per_second) {
+        message.set_requests_per_second(*limit.requests_per_second);
+    }
+    message.set_age_ms(milliseconds_of(now - limit.at));
+}
+
+// Fills messages from a list, beginning at `first`, while the datagram has room. Returns
+// where to begin in the next datagram.
+template <class Item, class Message>
+std::size_t fill_in_turn(std::span<const Item> items, std::size_t first, wire::Datagram& datagram,
+                         google::protobuf::RepeatedPtrField<Message>& messages,
+                         void (*fill)(Message&, const Item&, time_point), time_point now) {
+    for (std::size_t added = 0; added < items.size(); ++added) {
+        const auto index = (first + added) % items.size();
+        fill(*messages.Add(), items[index], now);
+        if (datagram.ByteSizeLong() > max_datagram_bytes) {
+            messages.RemoveLast();
+            return index;
+        }
+    }
+    return 0;
+}
+
 work_item item_of(const wire::WorkItem& message) {
     work_item item;
     item.server = server_name(message.server());
@@ -177,6 +211,9 @@
                                now);
     }
     handle_crash_knowledge(datagram, now);
+    for (const auto& limit : datagram.limits()) {
+        m_state.limits.on_statement(statement_of(limit, now), now);
+    }
 }
 
 void peer_link::handle_crash_knowledge(const wire::Datagram& datagram, time_point now) {
@@ -219,6 +256,9 @@
     switch (static_cast<work_event>(update.event())) {
         case work_event::started:
             for (const auto& item : update.items()) {
+                if (item.writes()) {
+                    m_state.limits.on_sent(server_name(item.server()), now);
+                }
                 m_state.load.add(id, item_of(item), now, now + std::chrono::milliseconds(update.lifetime_ms()));
             }
             break;
@@ -236,28 +276,23 @@
     wire::Datagram datagram;
     fill_status(*datagram.mutable_status(), m_own_status());
     add_crash_knowledge(datagram, now);
+    add_limits(datagram, now);
     send(datagram, m_state.role.heartbeat_targets_in_zone(now));
     send(datagram, m_state.role.heartbeat_targets_elsewhere(now));
 }
 
 void peer_link::add_crash_knowledge(wire::Datagram& datagram, time_point now) {
     const auto blocks = m_state.crashes.list_blocks(now);
-    std::size_t added = 0;
-    for (; added < blocks.size(); ++added) {
-        fill_block(*datagram.add_blocks(), blocks[(m_first_block + added) % blocks.size()], now);
-        if (datagram.ByteSizeLong() > max_datagram_bytes) {
-            datagram.mutable_blocks()->RemoveLast();
-            break;
-        }
-    }
-    m_first_block = added < blocks.size() ? (m_first_block + added) % blocks.size() : 0;
-    for (const auto& crash : m_state.crashes.list_recent_crashes(now)) {
-        fill_crash(*datagram.add_crashes(), crash, now);
-        if (datagram.ByteSizeLong() > max_datagram_bytes) {
-            datagram.mutable_crashes()->RemoveLast();
-            return;
-        }
-    }
+    m_first_block =
+        fill_in_turn<trait_block>(blocks, m_first_block, datagram, *datagram.mutable_blocks(), fill_block, now);
+    const auto crashes = m_state.crashes.list_recent_crashes(now);
+    fill_in_turn<crash_observation>(crashes, 0, datagram, *datagram.mutable_crashes(), fill_crash, now);
+}
+
+void peer_link::add_limits(wire::Datagram& datagram, time_point now) {
+    const auto limits = m_state.limits.list_recent(now);
+    m_first_limit =
+        fill_in_turn<limit_statement>(limits, m_first_limit, datagram, *datagram.mutable_limits(), fill_limit, now);
 }
 
 void peer_link::relay_statuses() {
@@ -326,6 +361,11 @@
     schedule_flush();
 }
 
+void peer_link::send_limit(const limit_statement& limit) {
+    fill_limit(*m_batch->add_limits(), limit, m_state.timers.now());
+    schedule_flush();
+}
+
 void peer_link::send_sound_request(std::span<const request_trait> traits, time_point began) {
     auto& message = *m_batch->add_sound_requests();
     message.mutable_traits()->Add(traits.begin(), traits.end());
--- a/src/serving/report_poller.cpp
+++ b/src/serving/report_poller.cpp
@@ -62,6 +62,12 @@
 }
 
 void report_poller::on_answer(const server_name& server, const call_result& result) {
+    if (result.answer) {
+        // A report without a limit doesn't say that there is none.
+        if (const auto limit = m_state.wire.read_answer(result.answer->head).requests_per_second) {
+            m_state.limits.on_statement({server, limit, m_state.timers.now()}, m_state.timers.now());
+        }
+    }
     auto& polled = m_polled_servers[server];
     const auto report = result.answer ? m_state.wire.read_load(server, *result.answer) : std::nullopt;
     if (report) {
--- a/test/error/serving_stated_limits.cpp
+++ b/test/error/serving_stated_limits.cpp
@@ -95,3 +95,37 @@
     CHECK(rig.most_requests(start) <= max_requests);
     CHECK(answered > 150);
 }
+
+TEST_CASE("a daemon that starts after a limit was stated keeps it, and one that is lifted is forgotten") {
+    const std::vector<std::string> hosts{"host-1", "host-2"};
+    limited_rig rig(hosts);
+    REQUIRE(rig.all_ready);
+    rig.load(hosts, 500ms);
+    REQUIRE_FALSE(rig.arrivals.empty());
+    rig.start_daemon("host-3");
+    REQUIRE(rig.run_until_ready("host-3"));
+    rig.run_for(2 * heartbeat_period);
+    const auto start = clock_type::now();
+    rig.load({"host-1", "host-2", "host-3"}, 4500ms);
+    CHECK(rig.most_requests(start) <= max_requests);
+
+    rig.states_limit = false;
+    rig.load(hosts, 1500ms);
+    const auto before = rig.arrivals.size();
+    rig.load({"host-1", "host-2", "host-3"}, 2s);
+    // A third of the requests, less what the other servers get by chance.
+    CHECK(static_cast<double>(rig.arrivals.size() - before) > 2 * stated_limit * 2);
+}
+
+TEST_CASE("hosts that stand by keep a limit with those that are active") {
+    const std::vector<std::string> hosts{"host-1", "host-2", "host-3", "host-4", "host-5"};
+    limited_rig rig(hosts, min_active_hosts / min_active_hosts_per_zone);
+    REQUIRE(rig.all_ready);
+    rig.run_for(2s);
+    rig.load({"host-1", "host-2", "host-3"}, 500ms);
+    REQUIRE_FALSE(rig.arrivals.empty());
+    rig.run_for(2 * heartbeat_period);
+    const auto start = clock_type::now();
+    CHECK(rig.load(hosts, 5s) > 150);
+    CHECK(rig.most_requests(start) <= max_requests);
+}
