Say which parts block a request, bound its traits, and hold prefixes found later

An operator who finds a refused request sees the parts of its prompt ('request blocked'). A request names at most 100 traits, which fit a datagram; an observation that is too large for a heartbeat doesn't keep out smaller ones. In the core, a prefix that is recognized because others were answered is held too.

--- a/src/core/crash_evidence.cpp
+++ b/src/core/crash_evidence.cpp
@@ -50,6 +50,10 @@
     // Only the server's owner reports its death, once.
     const auto run = serving::make_server_run(server.value, now.time_since_epoch().count());
     m_attribution.on_crash({run, now, {prefix_hashes.begin(), prefix_hashes.end()}}, now);
+    hold_blocked_prefixes(prefix_hashes);
+}
+
+void crash_evidence::hold_blocked_prefixes(std::span<const std::uint64_t> prefix_hashes) {
     for (const auto& block : m_attribution.take_new_blocks()) {
         // Of prefixes that can't be told apart, the longest says all.
         const auto longest = std::find_if(prefix_hashes.rbegin(), prefix_hashes.rend(), [&](std::uint64_t hash) {
@@ -57,6 +61,8 @@
         });
         if (longest != prefix_hashes.rend())
             m_entries[*longest] = entry{strikes_to_refuse, block.expires};
+        else if (block.traits.size() == 1)
+            m_entries[block.traits.front()] = entry{strikes_to_refuse, block.expires};
     }
 }
 
@@ -65,6 +71,8 @@
     m_attribution.on_sound_request(prefix_hashes, now, now);
     for (const std::uint64_t hash : prefix_hashes)
         on_completed(hash);
+    // What is left may be enough to hold another prefix.
+    hold_blocked_prefixes({});
 }
 
 bool crash_evidence::is_blocked(std::span<const std::uint64_t> prefix_hashes, time_point now) const {
--- a/src/core/crash_evidence.hpp
+++ b/src/core/crash_evidence.hpp
@@ -48,6 +48,9 @@
         time_point expires{};
     };
 
+    // Gives strikes to the prefixes that were blocked since the last call; of those of
+    // the prompt that was lost, to the longest.
+    void hold_blocked_prefixes(std::span<const std::uint64_t> prefix_hashes);
     void drop_expired(time_point now);
 
     // By fingerprint of a request, or hash of a prefix that is blocked.
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -18,6 +18,8 @@
 // Retry-After for a request that crashed its servers: long, since a retry is
 // likely to crash another one.
 constexpr duration retry_after_crashes = std::chrono::seconds(60);
+// Traits of one request have room in a datagram to other daemons.
+constexpr std::size_t max_traits_per_request = 100;
 // Output length that is assumed for a request without a stated maximum.
 constexpr std::int64_t default_output_tokens = 1'000;
 
@@ -82,6 +84,9 @@
         m_account != nullptr ? std::string_view(m_account->name.value) : std::string_view();
     std::vector<request_trait> found{trait_of_request(account, m_request.request.target, m_request.request.body)};
     for (const auto& part : m_request.shared_parts) {
+        if (found.size() >= max_traits_per_request) {
+            break;
+        }
         found.push_back(trait_of_part(m_service->name.value, part));
     }
     return found;
@@ -95,6 +100,10 @@
 void exchange::place() {
     if (crashes_servers()) {
         m_state.counters.add("requests_blocked");
+        log_line("request blocked")
+            .add("request", m_request.attempt_id)
+            .add("parts", joined(m_request.shared_parts))
+            .info();
         if (m_history.may_have_run > 0) {
             fail(502, "servers crash on requests like this one");
         } else {
--- a/src/serving/exchange_attempts.cpp
+++ b/src/serving/exchange_attempts.cpp
@@ -51,14 +51,6 @@
 // Priorities that servers know; 0 is the most urgent.
 constexpr int lowest_priority = 9;
 
-std::string joined(std::span<const std::string> names) {
-    std::string text;
-    for (const auto& name : names) {
-        text.append(text.empty() ? "" : ",").append(name);
-    }
-    return text;
-}
-
 std::string names_of(std::span<const prefill_helper> helpers) {
     std::vector<std::string> names;
     for (const auto& helper : helpers) {
--- a/src/serving/log_line.cpp
+++ b/src/serving/log_line.cpp
@@ -7,6 +7,14 @@
 
 namespace verbenahold::serving {
 
+std::string joined(std::span<const std::string> names) {
+    std::string text;
+    for (const auto& name : names) {
+        text.append(text.empty() ? "" : ",").append(name);
+    }
+    return text;
+}
+
 log_line& log_line::add(std::string_view name, std::string_view value) {
     m_text.append(" ").append(name).append("=");
     const bool plain = !value.empty() && value.find_first_of(" \"\n\r=") == std::string_view::npos;
--- a/src/serving/log_line.hpp
+++ b/src/serving/log_line.hpp
@@ -5,12 +5,16 @@
 #include "verbenahold/types.hpp"
 
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 #include <type_traits>
 
 namespace verbenahold::serving {
 
+// The names with commas between them.
+std::string joined(std::span<const std::string> names);
+
 class log_line {
 public:
     // `event` names what happened in a few words.
--- a/src/serving/peer_link.cpp
+++ b/src/serving/peer_link.cpp
@@ -96,21 +96,22 @@
     message.set_age_ms(milliseconds_of(now - limit.at));
 }
 
-// Fills messages from a list, beginning at `first`, while the datagram has room. Returns
-// where to begin in the next datagram.
+// Fills messages from a list, beginning at `first`, as far as the datagram has room.
+// Returns the first item that had none, with which the next datagram should begin.
 template <class Item, class Message>
 std::size_t fill_in_turn(std::span<const Item> items, std::size_t first, wire::Datagram& datagram,
                          google::protobuf::RepeatedPtrField<Message>& messages,
                          void (*fill)(Message&, const Item&, time_point), time_point now) {
-    for (std::size_t added = 0; added < items.size(); ++added) {
-        const auto index = (first + added) % items.size();
+    std::optional<std::size_t> left_out;
+    for (std::size_t position = 0; position < items.size(); ++position) {
+        const auto index = (first + position) % items.size();
         fill(*messages.Add(), items[index], now);
         if (datagram.ByteSizeLong() > max_datagram_bytes) {
             messages.RemoveLast();
-            return index;
+            left_out = left_out.value_or(index);
         }
     }
-    return 0;
+    return left_out.value_or(0);
 }
 
 work_item item_of(const wire::WorkItem& message) {
