--- a/review/standins/standins.cpp
+++ b/review/standins/standins.cpp
@@ -13,11 +13,11 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
-#include <csignal>
 #include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
+#include <csignal>
 
 namespace review {
 
@@ -386,8 +386,9 @@
 }
 
 store::store()
-    : m_listener(std::make_unique<listener>(
-          [this](channel& peer, const message& request) { return answer(peer, request); })) {}
+    : m_listener(
+          std::make_unique<listener>([this](channel& peer, const message& request) { return answer(peer, request); })) {
+}
 
 void store::put(const std::string& table, const std::string& key, const std::string& value) {
     const std::lock_guard lock(m_mutex);
@@ -407,10 +408,10 @@
         if (changes_only ? kept.version <= after : kept.removed) {
             continue;
         }
-        found.emplace_back(changes_only ? kept.version : 0,
-                           R"({"table":")" + table + R"(","part":"","key":")" + key + R"(","value":")" +
-                               base64(kept.value) + R"(","ver":)" + std::to_string(kept.version) +
-                               (kept.removed ? R"(,"deleted":true})" : "}"));
+        found.emplace_back(changes_only ? kept.version : 0, R"({"table":")" + table + R"(","part":"","key":")" + key +
+                                                                R"(","value":")" + base64(kept.value) + R"(","ver":)" +
+                                                                std::to_string(kept.version) +
+                                                                (kept.removed ? R"(,"deleted":true})" : "}"));
     }
     std::stable_sort(found.begin(), found.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
     std::string rows;
@@ -459,8 +460,8 @@
 }
 
 std::string worker_row(const std::string& service, const std::string& address, int slots, const std::string& state) {
-    return R"({"service":")" + service + R"(","address":")" + address +
-           R"(","zone":"zone-a","version":"v1","slots":)" + std::to_string(slots) + R"(,"state":")" + state +
+    return R"({"service":")" + service + R"(","address":")" + address + R"(","zone":"zone-a","version":"v1","slots":)" +
+           std::to_string(slots) + R"(,"state":")" + state +
            R"(","cold-ms":0,"stage":"unified","models":[{"name":"m","version":1,"adapters":[]}],"sequence":4,"born":)" +
            "1700000000000}";
 }
@@ -472,7 +473,8 @@
            R"(,"kv-total":315000,"handles":0,"pace":1,"tickets":[],"born":1700000000000})";
 }
 
-serving_daemon::serving_daemon(const std::string& command, const std::string& name, const std::string& folder, const store& rows)
+serving_daemon::serving_daemon(const std::string& command, const std::string& name, const std::string& folder,
+                               const store& rows)
     : m_log(folder + '/' + name + ".log") {
     const auto address = [] { return "127.0.0.1:" + std::to_string(free_port()); };
     m_front = address();
@@ -484,8 +486,8 @@
     settings
         << R"({"node":")" << name << R"(","role":"entry","machine-class":"front","serves":["front","directory"],)"
         << R"("ip":"127.0.0.1","zone":"zone-a","region":"region-a","zones":{"zone-a":"region-a"},"listen":{"front":")"
-        << m_front << R"(","ready":")" << m_ready << R"(","directory":")" << m_directory
-        << R"("},"internal-ports":[)" << peers << ',' << peers + 15
+        << m_front << R"(","ready":")" << m_ready << R"(","directory":")" << m_directory << R"("},"internal-ports":[)"
+        << peers << ',' << peers + 15
         << R"(],"seeds":[],"bootstrap":true,"include-in-tolerance":false,"limits":{"cpu-share":0.25,"cpu-cores":1,)"
         << R"("memory-mb":260,"max-fds":4100,"bandwidth-mbps":1000.0,"disk-mb":0},"data-dir":null,)"
         << R"("discovery":"platform","entry":"directory","heartbeat-ms":1200,"contracts":["base","drain","config",)"
--- a/review/standins/stop_with_kept_channels.cpp
+++ b/review/standins/stop_with_kept_channels.cpp
@@ -56,8 +56,7 @@
     const int events = std::stoi(usage.substr(usage.find(',') + 1)) / 51;
     for (int event = 0; event < events; ++event) {
         sleep_ms(event_period_ms);
-        if (peer.peer_left() ||
-            !peer.send(chunk_text("id: " + std::to_string(event) + "\ndata: piece\n\n"))) {
+        if (peer.peer_left() || !peer.send(chunk_text("id: " + std::to_string(event) + "\ndata: piece\n\n"))) {
             record.line("broken off at " + id + ": " + request.attempt_id());
             return false;
         }
@@ -67,12 +66,12 @@
 }
 
 std::string stream_request(const std::string& id, int events) {
-    return request_text("POST", "/chat/x", id, deadline_ms,
-                        {{"Verbenahold-Model", "m"},
-                         {"Verbenahold-Token-Usage", "5000," + std::to_string(events * 51)},
-                         {"Verbenahold-Prompt-Prefix", "aa:40,b" + std::to_string(std::hash<std::string>{}(id) % 9999) +
-                                                           ":4960"}},
-                        "prompt");
+    return request_text(
+        "POST", "/chat/x", id, deadline_ms,
+        {{"Verbenahold-Model", "m"},
+         {"Verbenahold-Token-Usage", "5000," + std::to_string(events * 51)},
+         {"Verbenahold-Prompt-Prefix", "aa:40,b" + std::to_string(std::hash<std::string>{}(id) % 9999) + ":4960"}},
+        "prompt");
 }
 
 // True if one of the directories names an address; clients keep an earlier answer otherwise.
@@ -80,9 +79,8 @@
     for (const auto& address : directories) {
         std::string answer = "no connection";
         if (const auto to = connect_to(address, 200)) {
-            const auto got =
-                ask(*to, "GET /api/resolve?name=h.example&region=region-a&zone=zone-a HTTP/1.1\r\nHost: h\r\n\r\n",
-                    1'000);
+            const auto got = ask(
+                *to, "GET /api/resolve?name=h.example&region=region-a&zone=zone-a HTTP/1.1\r\nHost: h\r\n\r\n", 1'000);
             answer = std::to_string(got.status) + " " + got.answer.body;
         }
         record.line("directory says: " + answer);
@@ -167,10 +165,9 @@
             }
             const auto id = name + "-second";
             record.line("sent " + id);
-            const auto second = ask(*to,
-                                    orders ? request_text("POST", "/order/x", id, 1'000, {}, "body")
-                                           : stream_request(id, events),
-                                    deadline_ms);
+            const auto second =
+                ask(*to, orders ? request_text("POST", "/order/x", id, 1'000, {}, "body") : stream_request(id, events),
+                    deadline_ms);
             const double sent_after = second.sent_at - stop_at;
             record.line("client got " + id + ": " +
                         (second.complete ? "complete, status " + std::to_string(second.status)
@@ -186,9 +183,8 @@
                 (passed_on || second.ended_at - second.sent_at > slack_ms)) {
                 ++broken;
                 record.line("LOST: " + id + ", sent " + std::to_string(static_cast<int>(sent_after)) +
-                            " ms after SIGTERM" + (passed_on ? ", run by " + run_by[id] : std::string()) +
-                            ", cut " + std::to_string(static_cast<int>(second.ended_at - stop_at)) +
-                            " ms after SIGTERM");
+                            " ms after SIGTERM" + (passed_on ? ", run by " + run_by[id] : std::string()) + ", cut " +
+                            std::to_string(static_cast<int>(second.ended_at - stop_at)) + " ms after SIGTERM");
             }
         });
     }
