review: the case of foreign answers has workers whose memory fills up

The worker refuses an order only while its memory is in use, and sends a second copy after at most three in a hundred answers.

--- a/review/standins/late_copy_at_order.cpp
+++ b/review/standins/late_copy_at_order.cpp
@@ -2,6 +2,7 @@
 // expected. Judges whether clients get answers that belong to other requests.
 #include "standins.hpp"
 
+#include <algorithm>
 #include <atomic>
 #include <thread>
 
@@ -9,8 +10,10 @@
 
 namespace {
 
-constexpr int chat_clients = 4;
-constexpr double chat_pause_ms = 10;
+constexpr int worker_count = 3;
+constexpr int review_clients = 8;
+constexpr int long_clients = 1;
+constexpr double review_pause_ms = 10;
 constexpr int deadline_ms = 10'000;
 constexpr int long_deadline_ms = 15'000;
 constexpr double order_takes_ms = 60;
@@ -19,23 +22,46 @@
 // The share of answers after which a second one may come.
 constexpr double largest_share = 0.03;
 
+constexpr long memory_tokens = 315'000;
+// Memory that requests of other entry hosts use, low and high in turn.
+constexpr long low_use = 20'000;
+constexpr long high_use = 250'000;
+constexpr double half_period_ms = 1'300;
+constexpr double report_lag_ms = 200;
+
 std::atomic<bool> stop_clients = false;
 std::atomic<int> answers = 0;
 std::atomic<int> copies = 0;
+std::atomic<int> refused_orders = 0;
 
 std::mutex mutex;
-// The statuses that workers gave, by attempt id.
-std::map<std::string, int> given;
-// The last answer on each channel.
+// The last answer on each channel, with the attempt id that it bears.
 std::map<const channel*, std::pair<std::string, std::string>> last_answer;
+// Attempt ids that workers answered.
+std::map<std::string, std::string> answered_by;
+// Reservations by worker address and name, in tokens.
+std::map<std::string, std::map<std::string, long>> tickets;
+std::map<std::string, std::string> address_of;
 
-bool answer_order(recorder& record, const std::string& id, channel& peer, const message& request) {
-    const bool reserves = request.body.find("\"reserve\"") != std::string::npos;
-    if (!reserves) {
-        return peer.send(answer_text(200, {{"Content-Type", "application/json"}}, R"({"free-slots":0})"));
+long used_by_others(double at) {
+    return static_cast<long>(at / half_period_ms) % 2 == 0 ? low_use : high_use;
+}
+
+std::string value_of(const std::string& body, const std::string& name) {
+    const auto found = body.find('"' + name + "\":");
+    if (found == std::string::npos) {
+        return {};
     }
+    const auto begin = found + name.size() + 3;
+    const auto value = body.substr(begin, body.find_first_of(",}", begin) - begin);
+    return value.starts_with('"') ? value.substr(1, value.size() - 2) : value;
+}
+
+bool answer_order(recorder& record, const std::string& id, channel& peer, const message& request) {
+    const auto ticket = value_of(request.body, "id");
+    const bool reserves = value_of(request.body, "operation") == "reserve";
     std::pair<std::string, std::string> before;
-    {
+    if (reserves) {
         const std::lock_guard lock(mutex);
         before = std::exchange(last_answer[&peer], {});
     }
@@ -44,14 +70,59 @@
         record.line("second copy from " + id + " of the answer to " + before.first);
         peer.send(before.second);
     }
-    sleep_ms(order_takes_ms);
-    record.line("order refused by " + id + " with 409");
-    return peer.send(answer_text(409, {{"Content-Type", "application/json"}}, R"({"free-slots":0})"));
+    sleep_ms(reserves ? order_takes_ms : 1);
+    const std::lock_guard lock(mutex);
+    auto& held = tickets[address_of[id]];
+    int status = 200;
+    if (!reserves) {
+        held.erase(ticket);
+    } else if (!held.contains(ticket)) {
+        const long tokens = std::stol(value_of(request.body, "tokens"));
+        long set_aside = 0;
+        for (const auto& [name, size] : held) {
+            set_aside += size;
+        }
+        const bool is_free = used_by_others(now_ms()) + set_aside + tokens <= memory_tokens;
+        status = is_free ? 200 : 409;
+        if (is_free) {
+            held[ticket] = tokens;
+        }
+    }
+    refused_orders += status == 409 ? 1 : 0;
+    record.line("order " + value_of(request.body, "operation") + ' ' + ticket + " answered by " + id + " with " +
+                std::to_string(status));
+    return peer.send(answer_text(status, {{"Content-Type", "application/json"}}, R"({"free-slots":0})"));
+}
+
+// Whether all tickets that the request names are held. Only these count beyond the
+// worker's own memory.
+bool has_memory(const message& request) {
+    const long tokens = std::stol(request.field("Verbenahold-Token-Usage"));
+    long elsewhere = 0;
+    auto helpers = request.field("Verbenahold-Helpers");
+    while (!helpers.empty()) {
+        const auto comma = std::min(helpers.find(','), helpers.size());
+        const auto entry = helpers.substr(0, comma);
+        helpers.erase(0, comma + 1);
+        const auto slash = entry.find('/');
+        if (slash == std::string::npos) {
+            continue;
+        }
+        const std::lock_guard lock(mutex);
+        const auto& held = tickets[entry.substr(0, slash)];
+        const auto found = held.find(entry.substr(slash + 1));
+        if (found == held.end()) {
+            return false;
+        }
+        elsewhere += found->second;
+    }
+    return tokens - elsewhere <= memory_tokens;
 }
 
 bool work(recorder& record, const std::string& id, channel& peer, const message& request) {
     if (request.target().starts_with("/api/report")) {
-        return peer.send(answer_text(200, {{"Content-Type", "application/json"}}, report_body(0, 0)));
+        return peer.send(answer_text(200, {{"Content-Type", "application/json"}},
+                                     report_body(4, used_by_others(now_ms() - report_lag_ms))));
     }
     if (request.target().starts_with("/api/order")) {
         return answer_order(record, id, peer, request);
@@ -61,8 +132,7 @@
     int status = 200;
     if (request.field("Verbenahold-Expect-Instance") != id) {
         status = 421;
-    } else if (!request.field("Verbenahold-Helpers").empty()) {
-        // The helper has no such ticket.
+    } else if (!has_memory(request)) {
         status = 503;
         head.emplace_back("Verbenahold-Not-Executed", "1");
     }
@@ -81,7 +151,7 @@
     sleep_ms(15);
     ++answers;
     const std::lock_guard lock(mutex);
-    given[attempt] = 200;
+    answered_by[attempt] = id;
     last_answer[&peer] = {attempt, text};
     record.line("answered " + attempt + " by " + id + " with 200");
     return peer.send(text);
@@ -104,12 +174,12 @@
     }
     record.line("client got " + id + " status " + std::to_string(got.status));
     served += got.status == 200 ? 1 : 0;
-    // The daemon's own failures are 502, 503 and 504; nothing else failed here.
+    // Workers give requests 200, 421 or 503, and the daemon's own failures are 502, 503 and 504.
     if (got.status == 409) {
         const std::lock_guard lock(mutex);
         ++broken;
         record.line("MIXED: " + id + " got the answer of an order: 409 " + got.answer.body + "; its worker " +
-                    (given.contains(id) ? "answered 200" : "had not answered"));
+                    (answered_by.contains(id) ? "answered 200" : "had not answered yet"));
     }
 }
 
@@ -122,15 +192,17 @@
     recorder record(std::string(arguments[1]) + "/record.txt");
     store rows;
     std::vector<std::unique_ptr<listener>> workers;
-    for (const std::string id : {"i-1", "i-2"}) {
+    for (int number = 1; number <= worker_count; ++number) {
+        const auto id = "i-" + std::to_string(number);
         workers.push_back(std::make_unique<listener>(
             [&record, id](channel& peer, const message& request) { return work(record, id, peer, request); }));
+        address_of[id] = workers.back()->address();
         rows.put("servers", id, worker_row("llm", workers.back()->address(), 16));
     }
     const std::string options = R"(,"max-attempts":2,"can-resume":true,"target-gap-ms":)";
     rows.put("op", "config",
              state_text(1,
-                        route_text("chat", "streaming", "llm", 10'000, 300, options + "250") + ',' +
+                        route_text("review", "streaming", "llm", 10'000, 1'500, options + "600") + ',' +
                             route_text("compare", "streaming", "llm", 15'000, 3'000, options + "1000"),
                         engine_service("llm")));
     serving_daemon entry(arguments[2], "entry-1", arguments[3], rows);
@@ -139,37 +211,39 @@
         finish(2);
     }
     std::vector<std::thread> threads;
-    for (int number = 0; number < chat_clients; ++number) {
+    for (int number = 0; number < review_clients; ++number) {
         threads.emplace_back([&, number] {
             auto to = connect_to(entry.front());
             for (int request = 0; !stop_clients; ++request) {
                 const auto id = "c" + std::to_string(number) + '-' + std::to_string(request);
                 record.line("sent " + id);
                 const auto got =
-                    ask(*to, request_text("POST", "/chat/x", id, deadline_ms, prompt(id, 1'000, 102), "prompt"),
+                    ask(*to, request_text("POST", "/review/x", id, deadline_ms, prompt(id, 1'000, 102), "prompt"),
                         deadline_ms);
                 judge(record, id, got);
                 if (!got.complete) {
                     to = connect_to(entry.front());
                 }
-                sleep_ms(chat_pause_ms);
+                sleep_ms(review_pause_ms);
+            }
+        });
+    }
+    for (int number = 0; number < long_clients; ++number) {
+        threads.emplace_back([&, number] {
+            sleep_ms(2'000);
+            for (int request = 0; !stop_clients; ++request) {
+                // A prompt over one worker's memory, so that memory is reserved at the other one.
+                const auto to = connect_to(entry.front());
+                const auto id = "long-" + std::to_string(number) + '-' + std::to_string(request);
+                record.line("sent " + id);
+                judge(record, id,
+                      ask(*to,
+                          request_text("POST", "/compare/x", id, long_deadline_ms, prompt(id, 400'000, 800), "prompt"),
+                          long_deadline_ms));
+                sleep_ms(100);
             }
         });
     }
-    threads.emplace_back([&] {
-        sleep_ms(2'000);
-        for (int request = 0; !stop_clients; ++request) {
-            // A prompt over one worker's memory, so that memory is reserved at the other one.
-            const auto to = connect_to(entry.front());
-            const auto id = "long-" + std::to_string(request);
-            record.line("sent " + id);
-            judge(record, id,
-                  ask(*to,
-                      request_text("POST", "/compare/x", id, long_deadline_ms, prompt(id, 400'000, 800), "long prompt"),
-                      3'000));
-            sleep_ms(200);
-        }
-    });
     sleep_ms(play_ms);
     stop_clients = true;
     for (auto& thread : threads) {
@@ -177,8 +251,9 @@
     }
     const auto end = entry.ended();
     record.line("the daemon " + (end ? "ended by itself: " + *end : std::string("runs")));
-    record.line("answers of workers " + std::to_string(answers) + ", second copies " + std::to_string(copies) +
-                ", served " + std::to_string(served) + ", foreign answers " + std::to_string(broken) + ", allowed 0");
+    record.line("answers of workers " + std::to_string(answers) + ", orders refused " + std::to_string(refused_orders) +
+                ", second copies " + std::to_string(copies) + ", served " + std::to_string(served) +
+                ", foreign answers " + std::to_string(broken) + ", allowed 0");
     if (served < 100 || (with_trouble() && copies == 0)) {
         finish(2);
     }
