--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../standins/play.sh" 3 late_copy_at_order
+exec "$(dirname "$0")/../standins/play.sh" 3 last_tenant_removed
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../standins/play.sh" 5 pause_in_stop
+exec "$(dirname "$0")/../standins/play.sh" 5 stop_with_kept_channels
--- a/review/standins/last_tenant_removed.cpp
+++ b/review/standins/last_tenant_removed.cpp
@@ -95,8 +95,9 @@
         }
         sleep_ms(100);
     }
-    record.line("ran with keys that no desired state held: " + std::to_string(unknown_ran) + ", with a dropped key: " +
-                std::to_string(dropped_ran) + ", allowed 0; served with the known key: " + std::to_string(known_served));
+    record.line("ran with keys that no desired state held: " + std::to_string(unknown_ran) +
+                ", with a dropped key: " + std::to_string(dropped_ran) +
+                ", allowed 0; served with the known key: " + std::to_string(known_served));
     if (!with_trouble() && known_served < 20) {
         finish(2);
     }
--- a/review/standins/standins.hpp
+++ b/review/standins/standins.hpp
@@ -161,6 +161,7 @@
     std::optional<std::string> ended();
     [[nodiscard]] const std::string& front() const { return m_front; }
     [[nodiscard]] const std::string& directory() const { return m_directory; }
+    [[nodiscard]] pid_t process() const { return m_process; }
     // The last lines that the daemon logged.
     [[nodiscard]] std::string last_lines(int count) const;
 
