--- a/review/standins/last_tenant_removed.cpp
+++ b/review/standins/last_tenant_removed.cpp
@@ -46,7 +46,7 @@
     if (count != 4) {
         return 2;
     }
-    recorder record(std::string(arguments[1]) + "/record.txt");
+    recorder record(arguments[1]);
     store rows;
     std::vector<std::unique_ptr<listener>> workers;
     for (const std::string id : {"s-1", "s-2", "s-3"}) {
--- a/review/standins/late_copy_at_order.cpp
+++ b/review/standins/late_copy_at_order.cpp
@@ -189,7 +189,7 @@
     if (count != 4) {
         return 2;
     }
-    recorder record(std::string(arguments[1]) + "/record.txt");
+    recorder record(arguments[1]);
     store rows;
     std::vector<std::unique_ptr<listener>> workers;
     for (int number = 1; number <= worker_count; ++number) {
--- a/review/standins/standins.cpp
+++ b/review/standins/standins.cpp
@@ -25,6 +25,9 @@
 
 const auto case_start = std::chrono::steady_clock::now();
 
+// The processes that the case started and that still run.
+std::vector<pid_t> started;
+
 bool same_name(std::string_view left, std::string_view right) {
     return std::equal(left.begin(), left.end(), right.begin(), right.end(),
                       [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
@@ -168,7 +171,7 @@
     return trouble == nullptr || std::string_view(trouble) != "0";
 }
 
-recorder::recorder(const std::string& path) : m_file(std::fopen(path.c_str(), "w")) {}
+recorder::recorder(const std::string& path) : m_file(std::fopen(path.c_str(), "a")) {}
 
 recorder::~recorder() {
     if (m_file != nullptr) {
@@ -505,6 +508,9 @@
     const auto words = words_of(command);
     const pid_t parent = getpid();
     m_process = fork();
+    if (m_process > 0) {
+        started.push_back(m_process);
+    }
     if (m_process == 0) {
         prctl(PR_SET_PDEATHSIG, SIGKILL);
         if (getppid() != parent) {
@@ -528,6 +534,7 @@
     if (!ended()) {
         kill(m_process, SIGKILL);
         waitpid(m_process, nullptr, 0);
+        std::erase(started, m_process);
     }
 }
 
@@ -538,6 +545,7 @@
 std::optional<std::string> serving_daemon::ended() {
     int status = 0;
     if (!m_end && waitpid(m_process, &status, WNOHANG) == m_process) {
+        std::erase(started, m_process);
         m_end = WIFSIGNALED(status) ? "signal " + std::to_string(WTERMSIG(status))
                                     : "exit code " + std::to_string(WEXITSTATUS(status));
     }
@@ -632,6 +640,10 @@
 }
 
 void finish(int code) {
+    for (const pid_t process : started) {
+        kill(process, SIGKILL);
+        waitpid(process, nullptr, 0);
+    }
     std::fflush(nullptr);
     std::_Exit(code);
 }
--- a/review/standins/standins.hpp
+++ b/review/standins/standins.hpp
@@ -27,7 +27,7 @@
 // False if TROUBLE=0: the case runs without its disruption.
 bool with_trouble();
 
-// Writes what was sent, answered and run, one line each, with the time in front.
+// Adds what was sent, answered and run to a file, one line each, with the time in front.
 class recorder {
 public:
     explicit recorder(const std::string& path);
@@ -201,7 +201,7 @@
 std::string engine_service(const std::string& name);
 std::string plain_service(const std::string& name);
 
-// Ends the process at once, after the daemons; other threads may be waiting.
+// Ends the daemons that still run, then this process; other threads may be waiting.
 [[noreturn]] void finish(int code);
 
 }  // namespace review
