Log what a server's answer states, whose id it echoes and what its connection carried

Callers were told that a request had not run which had run. The logs could not tell whether the server's status was passed on without a statement, whether the statement belonged to another request, or whether the daemon miscounted what was sent.

`attempt failed` and `skipped answer of another request` now give the answer's statement, proof and id, the number of requests that its connection carried before and the one before it. `answer without id` is a line of its own. New counters: `answers_without_id`, `answers_skipped` and `refusals_unstated`.

No change of behaviour.

--- a/src/serving/exchange_attempts.cpp
+++ b/src/serving/exchange_attempts.cpp
@@ -51,6 +51,17 @@
 // Priorities that servers know; 0 is the most urgent.
 constexpr int lowest_priority = 9;
 
+// Adds what the answer stated and what its connection carried before.
+void add_answer_fields(log_line& line, const server_answer& answer, const server_connection& connection) {
+    line.add("stated", answer.wrong_server   ? "wrong server"
+                       : answer.not_executed ? "not executed"
+                                             : "nothing")
+        .add("proof", answer.proved ? "yes" : "no")
+        .add("answer_id", answer.attempt_id.empty() ? "missing" : answer.attempt_id)
+        .add("earlier_requests", connection.earlier_requests())
+        .add("previous", connection.previous_request());
+}
+
 std::string names_of(std::span<const prefill_helper> helpers) {
     std::vector<std::string> names;
     for (const auto& helper : helpers) {
@@ -160,7 +171,8 @@
         const auto silence = std::max(min_silence, scaled(m_route->latency_target, silence_latency_targets));
         restart_silence_timer(chosen.predicted + silence);
     }
-    m_attempt->connection->send(request_bytes(request, {}), request.method == "HEAD", std::move(callbacks));
+    m_attempt->connection->send({request_bytes(request, {}), request.method == "HEAD", m_request.attempt_id},
+                                std::move(callbacks));
 }
 
 void exchange::announce_work(work_event event) {
@@ -221,15 +233,27 @@
 bool exchange::on_head(const http_answer_head& head) {
     const auto decoded = m_state.wire.read_answer(head);
     if (!decoded.attempt_id.empty() && decoded.attempt_id != m_request.attempt_id) {
-        log_line("skipped answer of another request")
-            .add("request", m_request.attempt_id)
+        m_state.counters.add("answers_skipped");
+        log_line line("skipped answer of another request");
+        line.add("request", m_request.attempt_id)
             .add("answer_for", decoded.attempt_id)
-            .add("server", m_attempt->server.value)
-            .warn();
+            .add("server", m_attempt->server.value);
+        add_answer_fields(line, decoded, *m_attempt->connection);
+        line.add("status", head.status).warn();
         return false;
     }
     m_attempt->answer.head = head;
     m_attempt->decoded = decoded;
+    if (decoded.attempt_id.empty()) {
+        m_state.counters.add("answers_without_id");
+        log_line line("answer without id");
+        line.add("request", m_request.attempt_id).add("server", m_attempt->server.value).add("status", head.status);
+        add_answer_fields(line, decoded, *m_attempt->connection);
+        line.warn();
+    }
+    if (decoded.reads_as_not_run && !decoded.not_executed) {
+        m_state.counters.add("refusals_unstated");
+    }
     note_stated_limit();
     const bool success = head.status >= 200 && head.status < 300;
     m_attempt->streams = success && decoded.proved && m_route->form == answer_form::event_stream;
@@ -480,13 +504,14 @@
     }
     m_state.counters.add("attempts_failed");
     const auto decision = decide_next(*m_route, m_history, outcome);
-    log_line("attempt failed")
-        .add("request", m_request.attempt_id)
+    log_line line("attempt failed");
+    line.add("request", m_request.attempt_id)
         .add("server", server.value)
         .add("at_fault", at_fault.value)
         .add("reason", reason)
-        .add("status", failure.head.status)
-        .add("after_ms", now - m_attempt->sent_at)
+        .add("status", failure.head.status);
+    add_answer_fields(line, m_attempt->decoded, *m_attempt->connection);
+    line.add("after_ms", now - m_attempt->sent_at)
         .add("events", m_attempt->events_received)
         .add("parts", joined(m_request.shared_parts))
         .add("may_have_run", m_history.may_have_run)
--- a/src/serving/http_client.cpp
+++ b/src/serving/http_client.cpp
@@ -70,7 +70,9 @@
     callbacks.on_failure = [this, open](const call_failure& failure) {
         open->end(m_timers, {std::nullopt, std::string(failure_reason(failure))});
     };
-    open->connection->send(request_bytes(request, address), request.method == "HEAD", std::move(callbacks));
+    open->connection->send(
+        {request_bytes(request, address), request.method == "HEAD", std::string(path_of(request.target))},
+        std::move(callbacks));
 }
 
 }  // namespace verbenahold::serving
--- a/src/serving/server_connection.cpp
+++ b/src/serving/server_connection.cpp
@@ -66,16 +66,17 @@
 server_connection::server_connection(boost::asio::io_context& loop, std::string address)
     : m_socket(loop), m_address(std::move(address)) {}
 
-void server_connection::send(std::string request, bool is_head_request, answer_callbacks callbacks) {
+void server_connection::send(outgoing_request request, answer_callbacks callbacks) {
     m_callbacks = std::move(callbacks);
-    m_output = std::move(request);
+    m_output = std::move(request.bytes);
+    m_previous_request = std::exchange(m_current_request, std::move(request.name));
     m_busy = true;
     m_reusable = false;
     m_head_reported = false;
     m_skipping = false;
-    m_head_request = is_head_request;
+    m_head_request = request.is_head;
     ++m_requests;
-    m_parser.restart(is_head_request);
+    m_parser.restart(request.is_head);
     if (m_connected) {
         write();
     } else {
--- a/src/serving/server_connection.hpp
+++ b/src/serving/server_connection.hpp
@@ -32,6 +32,14 @@
 
 std::string_view failure_reason(const call_failure& failure);
 
+struct outgoing_request {
+    // A complete serialized HTTP/1.1 request.
+    std::string bytes;
+    bool is_head = false;
+    // Names the request in log lines.
+    std::string name;
+};
+
 // Callbacks of one request. None is called after on_complete or on_failure.
 struct answer_callbacks {
     // Returns false if the answer belongs to another request; it is skipped.
@@ -45,8 +53,8 @@
 public:
     server_connection(boost::asio::io_context& loop, std::string address);
 
-    // Sends a complete serialized HTTP/1.1 request; connects first if needed.
-    void send(std::string request, bool is_head_request, answer_callbacks callbacks);
+    // Sends the request; connects first if needed.
+    void send(outgoing_request request, answer_callbacks callbacks);
     // Closes the connection without further callbacks; with a reset during a
     // request, so that the peer notices at once.
     void close();
@@ -59,8 +67,10 @@
     [[nodiscard]] bool is_reusable() const { return m_reusable && m_socket.is_open(); }
     // The last answer was ended by nothing but the end of the connection.
     [[nodiscard]] bool answer_ended_with_connection() const { return m_parser.ends_with_connection(); }
-    // Whether this connection carried a request before the current one.
-    [[nodiscard]] bool was_used() const { return m_requests > 1; }
+    // Number of requests that this connection carried before the current one.
+    [[nodiscard]] int earlier_requests() const { return m_requests - 1; }
+    // Name of the request before the current one; empty if there was none.
+    [[nodiscard]] const std::string& previous_request() const { return m_previous_request; }
     // Lifetime of an idle connection that the server announced, in seconds; 0
     // if it announced none.
     [[nodiscard]] int announced_idle_seconds() const { return m_idle_seconds; }
@@ -78,6 +88,8 @@
     boost::asio::ip::tcp::socket m_socket;
     std::string m_address;
     std::string m_output;
+    std::string m_current_request;
+    std::string m_previous_request;
     std::array<char, 16'384> m_chunk{};
     answer_parser m_parser;
     answer_callbacks m_callbacks;
--- a/src/serving/wire_protocol.hpp
+++ b/src/serving/wire_protocol.hpp
@@ -53,6 +53,8 @@
 struct server_answer {
     // The server guarantees that it did not and will not run the request.
     bool not_executed = false;
+    // Callers take the status as a promise that the request did not and will not run.
+    bool reads_as_not_run = false;
     // The address now belongs to another server.
     bool wrong_server = false;
     // The answer carries the origin signature of the server.
