Pass on no refusal whose server does not state that the request did not run

Callers saw 408, 429 and 503 for requests that had run. These statuses promise that a request did not run, so that callers repeat orders that may run once.

Cause: a server's own failure was passed on whatever its status. A server may run a request and answer 503, 429 or 408; only its statement, or 421, says that it did not.

Evidence: with servers that run each request and answer one of the three statuses without the statement, callers of at-most-once routes got that status in all 18 combinations of route, status and proof, and an idempotent request got a 408 or 429 although another server would have served it.

A refusal without a statement is now an outcome of its own. Another attempt follows where the route allows one, otherwise the caller gets the daemon's own 502, without the server's proof. Statuses that promise nothing are passed on as before.

--- a/src/routing/attempt_policy.cpp
+++ b/src/routing/attempt_policy.cpp
@@ -50,6 +50,13 @@
         return deliver_failure{};
     }
 
+    attempt_decision operator()(const attempt_refusal_unstated&) const {
+        if (may_retry(m_route, m_history)) {
+            return try_another_server{true};
+        }
+        return end("the server refused without stating that the request did not run");
+    }
+
 private:
     [[nodiscard]] attempt_decision end(std::string_view reason) const {
         if (m_history.answer_begun) {
--- a/src/routing/attempt_policy.hpp
+++ b/src/routing/attempt_policy.hpp
@@ -19,8 +19,12 @@
 struct attempt_outcome_unknown {};
 // The server sent a complete answer that reports an error.
 struct attempt_failed {};
+// The server sent a complete answer whose status tells callers that the request did not
+// run, without stating so. It is never passed on.
+struct attempt_refusal_unstated {};
 
-using attempt_outcome = std::variant<attempt_not_sent, attempt_not_executed, attempt_outcome_unknown, attempt_failed>;
+using attempt_outcome = std::variant<attempt_not_sent, attempt_not_executed, attempt_outcome_unknown, attempt_failed,
+                                     attempt_refusal_unstated>;
 
 // The attempts of one request so far, including the one that has just ended.
 struct attempt_history {
--- a/src/serving/exchange_attempts.cpp
+++ b/src/serving/exchange_attempts.cpp
@@ -364,11 +364,15 @@
         sink->end_stream();
         return;
     }
-    if (current.decoded.wrong_server || current.decoded.not_executed) {
+    if (current.decoded.not_executed) {
         handle_outcome(attempt_not_executed{}, current.decoded.wrong_server ? "another server has the address"
                                                                             : "the server rejected the request");
         return;
     }
+    if (current.decoded.reads_as_not_run) {
+        handle_outcome(attempt_refusal_unstated{}, "the server refused without stating that the request did not run");
+        return;
+    }
     if (status >= 500) {
         handle_outcome(attempt_failed{}, "the server failed");
         return;
--- a/test/correctness/core_attempt_policy.cpp
+++ b/test/correctness/core_attempt_policy.cpp
@@ -20,7 +20,8 @@
 
 const std::vector<attempt_outcome>& all_outcomes() {
     static const std::vector<attempt_outcome> outcomes{attempt_not_sent{}, attempt_not_executed{},
-                                                       attempt_outcome_unknown{}, attempt_failed{}};
+                                                       attempt_outcome_unknown{}, attempt_failed{},
+                                                       attempt_refusal_unstated{}};
     return outcomes;
 }
 
@@ -64,6 +65,21 @@
     }
 }
 
+TEST_CASE("a refusal without a statement is never passed on, and nothing is promised in its place") {
+    for (const auto retry : {retry_rule::at_most_once, retry_rule::idempotent}) {
+        for_each_case([&](const attempt_history& history, const attempt_outcome& outcome) {
+            if (!std::holds_alternative<attempt_refusal_unstated>(outcome) || history.may_have_run == 0) {
+                return;
+            }
+            const auto decision = decide_next(route_of(retry, 2, false), history, outcome);
+            CHECK_FALSE(std::holds_alternative<deliver_failure>(decision));
+            if (const auto* end = std::get_if<give_up>(&decision)) {
+                CHECK_FALSE(end->not_run);
+            }
+        });
+    }
+}
+
 TEST_CASE("no request runs on more servers than its route allows") {
     for (int attempts = 1; attempts <= 3; ++attempts) {
         const auto matched = route_of(retry_rule::idempotent, attempts, true);
