Believe no statement that a request did not run in an answer that is a success

A server's success with the header that states that the request did not run was taken for a rejection: a request that may run once was sent to a second server, and the caller then got 503 after two runs, or, on a streaming route, the answer itself as a success.

Such an answer contradicts itself, so the outcome counts as unknown: 502, or another attempt at an idempotent request. The test failed before, with 2 runs and status 503 on the unary route and status 200 on the streaming one.

--- a/src/serving/exchange_attempts.cpp
+++ b/src/serving/exchange_attempts.cpp
@@ -256,7 +256,8 @@
     }
     note_stated_limit();
     const bool success = head.status >= 200 && head.status < 300;
-    m_attempt->streams = success && decoded.proved && m_route->form == answer_form::event_stream;
+    m_attempt->streams =
+        success && decoded.proved && !decoded.not_executed && m_route->form == answer_form::event_stream;
     return true;
 }
 
@@ -364,6 +365,10 @@
         sink->end_stream();
         return;
     }
+    if (current.decoded.not_executed && success) {
+        handle_outcome(attempt_outcome_unknown{}, "the answer contradicts itself");
+        return;
+    }
     if (current.decoded.not_executed) {
         handle_outcome(attempt_not_executed{}, current.decoded.wrong_server ? "another server has the address"
                                                                             : "the server rejected the request");
--- a/test/error/serving_promises.cpp
+++ b/test/error/serving_promises.cpp
@@ -120,6 +120,26 @@
     CHECK(caller.received().ends_with("why"));
 }
 
+TEST_CASE("a success that claims that the request did not run is no refusal and is not sent again") {
+    const auto path = GENERATE(std::string("/unsafe/x"), std::string("/stream/x"));
+    CAPTURE(path);
+    serving_rig rig;
+    int runs = 0;
+    const auto contradict = [&](const http_request& request, const session_pointer& session) {
+        ++runs;
+        session->write(answer_text(200, id_line(request) + proof_line + not_executed_line, "id: 1\ndata: x\n\n"));
+    };
+    rig.add_server("i-1", contradict);
+    rig.add_server("i-2", contradict);
+    rig.put_desired_state();
+    rig.start_daemon("host-1");
+    REQUIRE(rig.run_until_ready("host-1"));
+    auto& caller = rig.call("host-1", request_text("POST", path, "a-1", "order"));
+    REQUIRE(rig.run_until([&] { return has_answer(caller); }));
+    CHECK(status_of(caller) == 502);
+    CHECK(runs == 1);
+}
+
 namespace {
 
 // What a server does with one request.
