serving: log each reservation's use and end, and read the bound on unused memory

The incident's record tells that memory was reserved, renewed and released unused, and the daemon's own log could not say for which request, at which first server and for how long: only failures of reservations were logged.

Each reservation now logs when a server sets the memory aside, when the request begins to use it and how that is known, and its end with reason, age, unused time and number of renewals. Counter reservations_made, gauges reservations_held and reservations_unused. The setting idle-max-ms is read, and taken over at a reload; nothing acts on it yet.

--- a/src/serving/exchange_attempts.cpp
+++ b/src/serving/exchange_attempts.cpp
@@ -82,16 +82,18 @@
     std::vector<memory_reservation::part> parts;
     for (const auto& helper : m_attempt->placed.helpers) {
         if (helper.reserved_tokens > 0) {
-            parts.push_back({helper.server.address, helper.reserved_tokens, {}});
+            parts.push_back({helper.server.id, helper.server.address, helper.reserved_tokens, {}});
         }
     }
     log_line("reserving memory")
         .add("request", m_request.attempt_id)
+        .add("first_server", m_attempt->server.value)
         .add("servers", parts.size())
         .add("tokens", m_request.prompt_tokens)
         .info();
     const auto name = std::to_string(m_state.boot) + '-' + std::to_string(m_attempt->work.number);
-    m_attempt->memory = std::make_shared<memory_reservation>(m_state, name, std::move(parts));
+    m_attempt->memory = std::make_shared<memory_reservation>(
+        m_state, memory_reservation::owner{m_request.attempt_id, m_attempt->server}, name, std::move(parts));
     const auto weak = weak_from_this();
     m_attempt->memory->acquire([weak, number = m_attempt->work.number](bool reserved) {
         const auto self = weak.lock();
@@ -272,6 +274,9 @@
         return;
     }
     m_attempt->last_event_at = m_state.timers.now();
+    if (m_attempt->memory) {
+        m_attempt->memory->on_used("first event");
+    }
     if (m_attempt->events_received == 0) {
         m_attempt->first_event_at = m_attempt->last_event_at;
     }
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -40,10 +40,10 @@
 // Time limit of a call to another daemon.
 constexpr duration peer_call_timeout = std::chrono::milliseconds(800);
 // Counters that are exported as zero before their first event.
-constexpr std::array<std::string_view, 11> counter_names{"requests_received",  "requests_blocked", "requests_answered",
-                                                         "requests_refused",   "requests_failed",  "requests_cut_off",
-                                                         "requests_cancelled", "attempts_failed",  "server_reports",
-                                                         "datagrams_ignored",  "datagrams_unsent"};
+constexpr std::array<std::string_view, 12> counter_names{"requests_received",  "requests_blocked",  "requests_answered",
+                                                         "requests_refused",   "requests_failed",   "requests_cut_off",
+                                                         "requests_cancelled", "attempts_failed",   "server_reports",
+                                                         "datagrams_ignored",  "reservations_made", "datagrams_unsent"};
 constexpr std::string_view changes_path = "/v1/changes";
 // Upper bound of the random delay before a daemon asks a peer for changes.
 constexpr duration max_catch_up_delay = std::chrono::milliseconds(120);
@@ -427,6 +427,8 @@
     m_state.counters.set_gauge("blocked_traits",
                                static_cast<double>(m_state.crashes.count_active_blocks(m_state.timers.now())));
     m_state.counters.set_gauge("limited_servers", static_cast<double>(m_state.limits.size()));
+    m_state.counters.set_gauge("reservations_held", m_state.reservations_held);
+    m_state.counters.set_gauge("reservations_unused", m_state.reservations_unused);
     m_state.counters.set_gauge("live_daemons", m_state.daemons.senders());
     m_state.counters.set_counter("server_connections_opened", static_cast<std::int64_t>(m_state.pool.opened()));
     return {{200, {}, {{"Content-Type", "text/plain; version=0.0.4"}}}, m_state.counters.text().toStdString()};
--- a/src/serving/gateway_state.hpp
+++ b/src/serving/gateway_state.hpp
@@ -102,6 +102,9 @@
     // connections.
     bool stopping = false;
     int open_requests = 0;
+    // Reservations of memory at servers, and those that no request has used yet.
+    int reservations_held = 0;
+    int reservations_unused = 0;
 };
 
 }  // namespace verbenahold::serving
--- a/src/serving/serving_settings.cpp
+++ b/src/serving/serving_settings.cpp
@@ -7,6 +7,7 @@
     current.repeats = fresh.repeats;
     current.cold = fresh.cold;
     current.max_reservation_hold = fresh.max_reservation_hold;
+    current.max_unused_reservation = fresh.max_unused_reservation;
     current.max_locate_lifetime = fresh.max_locate_lifetime;
     std::vector<std::string> held_back;
     const auto compare = [&](const std::string& before, const std::string& after, const char* name) {
--- a/src/serving/serving_settings.hpp
+++ b/src/serving/serving_settings.hpp
@@ -36,6 +36,8 @@
     cold_bound cold;
     // Longest reservation of memory that a model engine grants.
     duration max_reservation_hold = std::chrono::seconds(20);
+    // Longest time that memory may be reserved while no request uses it.
+    duration max_unused_reservation = std::chrono::seconds(9);
     // Longest lifetime of directory answers that callers respect.
     duration max_locate_lifetime = std::chrono::seconds(5);
 };
--- a/test/correctness/serving_platform_protocol.cpp
+++ b/test/correctness/serving_platform_protocol.cpp
@@ -214,6 +214,18 @@
     CHECK(fault_of("\"provider\"", "\"store\"") == "provider");
 }
 
+TEST_CASE("the bound on unused memory is read, and a reload takes it over") {
+    const std::string text = R"({"node":"n","zone":"z","ip":"10.0.0.1","internal-ports":[7340,7355],
+        "listen":{"front":"10.0.0.1:1","ready":"10.0.0.1:2","directory":"10.0.0.1:3"},
+        "bounds":{"grace-s":8,"budget-ratio":0.2,"budget-slack":106,"budget-window-s":10,"cold-overage":1.5,
+                  "cold-slack":5,"idle-max-ms":6500},"provider":{"address":"10.0.0.9:1"}})";
+    const auto read = platform::decode_settings(text);
+    REQUIRE(std::holds_alternative<serving_settings>(read));
+    serving_settings current;
+    apply_reload(current, std::get<serving_settings>(read));
+    CHECK(current.max_unused_reservation == 6'500ms);
+}
+
 // The settings file may change while the daemon runs, with or without a signal.
 TEST_CASE("a reload changes limits, and addresses change only at a restart") {
     serving_settings current;
--- a/test/rig/serving_rig.cpp
+++ b/test/rig/serving_rig.cpp
@@ -228,6 +228,7 @@
     settings.store_address = store_address.empty() ? store.address() : store_address;
     settings.repeats = {0.2, 100, 10s};
     settings.cold = {1.5, 5};
+    settings.max_unused_reservation = max_unused_reservation;
     // Daemons find each other through the store.
     store.put("daemons", name, encode_daemon_record({name, settings.peer_address, settings.zone, settings.cores}));
     started_daemon.running = std::make_unique<gateway>(*started_daemon.loop, settings, m_protocol, rig_start_us);
--- a/test/rig/serving_rig.hpp
+++ b/test/rig/serving_rig.hpp
@@ -121,6 +121,8 @@
 
     // Number of zones that the settings of daemons name; all daemons are in one.
     std::size_t zones = 1;
+    // Longest time that memory may be reserved unused, for daemons started later.
+    duration max_unused_reservation = std::chrono::seconds(9);
     // From now on the daemon is silent and its connections hang, as after a loss of
     // power.
     void silence_daemon(const std::string& name) { m_daemons.at(name).is_silent = true; }
