serving: end the lease of reserved memory that no request uses

Users saw memory at one server set aside for longer than idle-max-ms (9 s) with no request using it (STUCK), released by the daemon in the end.

If the request waits in the first server's queue, or that server is silent and the stream may run once only, nothing else ends the reservation before the request's time limit. A daemon that freezes after two thirds of the bound exceeds it too, by the lease of its last renewal.

The bound is now kept by the lease itself: reservation_lease never asks a server to hold unused memory beyond three quarters of idle-max-ms, so that it lapses there even when the daemon is frozen, stopping or out of reach. From a third of the bound on a holder is asked for the reservation's state; if it is in use, the lease goes on at full length, and else it is released after two thirds. A request that reads its prompt for long keeps its memory. When a first server rejects a request for memory that this daemon gave up, its holder is no longer ejected as faulty.

Excluded by tests that passed before: the reservation outlives its request in the daemon (the caller leaves, the connection ends, servers reject it, the answer ends), and partial acquisition keeps parts.

--- a/src/serving/exchange_attempts.cpp
+++ b/src/serving/exchange_attempts.cpp
@@ -82,7 +82,7 @@
     std::vector<memory_reservation::part> parts;
     for (const auto& helper : m_attempt->placed.helpers) {
         if (helper.reserved_tokens > 0) {
-            parts.push_back({helper.server.id, helper.server.address, helper.reserved_tokens, {}});
+            parts.push_back({helper.server.id, helper.server.address, helper.reserved_tokens});
         }
     }
     log_line("reserving memory")
@@ -93,7 +93,7 @@
         .info();
     const auto name = std::to_string(m_state.boot) + '-' + std::to_string(m_attempt->work.number);
     m_attempt->memory = std::make_shared<memory_reservation>(
-        m_state, memory_reservation::owner{m_request.attempt_id, m_attempt->server}, name, std::move(parts));
+        m_state, memory_reservation::owner{m_request.attempt_id, m_attempt->server}, name, parts);
     const auto weak = weak_from_this();
     m_attempt->memory->acquire([weak, number = m_attempt->work.number](bool reserved) {
         const auto self = weak.lock();
@@ -275,7 +275,7 @@
     }
     m_attempt->last_event_at = m_state.timers.now();
     if (m_attempt->memory) {
-        m_attempt->memory->on_used("first event");
+        m_attempt->memory->on_used("event");
     }
     if (m_attempt->events_received == 0) {
         m_attempt->first_event_at = m_attempt->last_event_at;
@@ -474,7 +474,9 @@
                                        std::holds_alternative<attempt_not_sent>(outcome) ||
                                        m_attempt->decoded.wrong_server;
     // The answer may name one of the helping servers as the faulty one.
-    const auto at_fault = server_at_fault();
+    // A helper that lacks memory which this daemon gave up is not faulty.
+    const bool memory_given_up = m_attempt->memory && m_attempt->memory->is_given_up();
+    const auto at_fault = memory_given_up ? server : server_at_fault();
     const bool other_at_fault = at_fault != server;
     if (speaks_against_server || other_at_fault) {
         m_state.servers.report_failure(at_fault, now);
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -40,10 +40,10 @@
 // Time limit of a call to another daemon.
 constexpr duration peer_call_timeout = std::chrono::milliseconds(800);
 // Counters that are exported as zero before their first event.
-constexpr std::array<std::string_view, 12> counter_names{"requests_received",  "requests_blocked",  "requests_answered",
-                                                         "requests_refused",   "requests_failed",   "requests_cut_off",
-                                                         "requests_cancelled", "attempts_failed",   "server_reports",
-                                                         "datagrams_ignored",  "reservations_made", "datagrams_unsent"};
+constexpr std::array<std::string_view, 13> counter_names{
+    "requests_received", "requests_blocked",      "requests_answered", "requests_refused", "requests_failed",
+    "requests_cut_off",  "requests_cancelled",    "attempts_failed",   "server_reports",   "datagrams_ignored",
+    "reservations_made", "reservations_given_up", "datagrams_unsent"};
 constexpr std::string_view changes_path = "/v1/changes";
 // Upper bound of the random delay before a daemon asks a peer for changes.
 constexpr duration max_catch_up_delay = std::chrono::milliseconds(120);
--- a/src/serving/wire_protocol.hpp
+++ b/src/serving/wire_protocol.hpp
@@ -4,6 +4,7 @@
 
 #include "desired_state.hpp"
 #include "http_types.hpp"
+#include "reservation_lease.hpp"
 #include "server_registry.hpp"
 #include "server_report.hpp"
 
@@ -129,6 +130,10 @@
     [[nodiscard]] virtual http_request ask_load() const = 0;
     [[nodiscard]] virtual std::optional<server_report> read_load(const server_name& server,
                                                                  const http_answer& answer) const = 0;
+    // The state of a reservation in the answer to ask_load; empty if the answer is
+    // invalid.
+    [[nodiscard]] virtual std::optional<reservation_state> read_reservation_state(std::string_view reservation,
+                                                                                  const http_answer& answer) const = 0;
 
     // The directory and the platform's checks.
     [[nodiscard]] virtual std::optional<locate_query> read_locate(std::string_view target) const = 0;
--- a/test/correctness/serving_platform_protocol.cpp
+++ b/test/correctness/serving_platform_protocol.cpp
@@ -167,6 +167,25 @@
     CHECK_FALSE(read(200, "<html>"));
 }
 
+TEST_CASE("a reservation counts as used only if the server's report says so") {
+    const auto state_of = [](const std::string& tickets) {
+        return platform::decode_reservation_state("1-7-0", {{200, "", {}}, R"({"queued":1)" + tickets + "}"});
+    };
+    const auto ticket = [](const std::string& id, const std::string& state) {
+        return R"(,"tickets":[{"id":"1-7","tokens":5,"state":"used","age-ms":1},{"id":")" + id +
+               R"(","tokens":5,"state":")" + state + R"(","age-ms":1}])";
+    };
+    CHECK(state_of(ticket("1-7-0", "used")) == reservation_state::used);
+    CHECK(state_of(ticket("1-7-0", "held")) == reservation_state::unused);
+    CHECK(state_of(ticket("1-7-0", "waiting")) == reservation_state::unused);
+    CHECK(state_of(ticket("1-7-1", "used")) == reservation_state::absent);
+    CHECK(state_of(R"(,"tickets":[])") == reservation_state::absent);
+    CHECK_FALSE(state_of(""));
+    CHECK_FALSE(state_of(R"(,"tickets":5)"));
+    CHECK_FALSE(platform::decode_reservation_state("1-7-0", {{503, "", {}}, R"({"tickets":[]})"}));
+    CHECK_FALSE(platform::decode_reservation_state("1-7-0", {{200, "", {}}, "<html>"}));
+}
+
 TEST_CASE("the store's answers are distinguished: rows, expired history, refusals and malformed bodies") {
     const auto answer = [](int status, const char* body) { return platform::decode_page({{status, "", {}}, body}); };
     const auto page = answer(200, R"({"rows":[{"table":"op","part":"","key":"config","value":"bm9kZS0x","ver":4},
--- a/test/error/serving_reservations.cpp
+++ b/test/error/serving_reservations.cpp
@@ -16,7 +16,8 @@
 
 // The platform's bound on memory that stays reserved after its last use.
 constexpr duration max_after_use = 4s;
-constexpr int engine_count = 4;
+// Two servers are left for a prompt over the memory of one when a third has rejected it.
+constexpr int engine_count = 3;
 
 // Engines that queue a long prompt behind one daemon.
 struct engine_rig : serving_rig {
--- a/test/rig/scripted_engines.cpp
+++ b/test/rig/scripted_engines.cpp
@@ -156,8 +156,14 @@
     }
 }
 
+engine_ticket& scripted_engines::ticket_named(const std::string& server_and_id) {
+    const auto slash = server_and_id.find('/');
+    return m_tickets.at({server_and_id.substr(0, slash), server_and_id.substr(slash + 1)});
+}
+
 void scripted_engines::start(open_request request) {
     expire();
+    auto memory = memory_tokens;
     std::string helpers(field_value(request.request.fields, "Verbenahold-Helpers"));
     for (std::size_t begin = 0; begin < helpers.size();) {
         const auto end = std::min(helpers.find(',', begin), helpers.size());
@@ -173,10 +179,18 @@
             request.session->write(rejection_at(holder));
             return;
         }
-        found->second.used_at = now();
-        found->second.use_ended_at.reset();
+        memory += found->second.tokens;
         request.tickets.push_back(holder + '/' + entry.substr(slash + 1));
     }
+    if (memory < long_prompt_tokens) {
+        request.session->write(rejection());
+        return;
+    }
+    for (const auto& name : request.tickets) {
+        auto& ticket = ticket_named(name);
+        ticket.used_at = now();
+        ticket.use_ended_at.reset();
+    }
     runs.emplace_back(field_value(request.request.fields, "Verbenahold-Attempt-Id"));
     m_running.push_back(std::move(request));
 }
@@ -210,8 +224,7 @@
     for (const auto& running : std::exchange(m_running, {})) {
         running.session->write(stream_chunk(2) + stream_end);
         for (const auto& name : running.tickets) {
-            const auto slash = name.find('/');
-            m_tickets.at({name.substr(0, slash), name.substr(slash + 1)}).use_ended_at = now();
+            ticket_named(name).use_ended_at = now();
         }
     }
 }
--- a/test/rig/scripted_engines.hpp
+++ b/test/rig/scripted_engines.hpp
@@ -92,6 +92,7 @@
                    duration hold);
     void answer_report(const std::string& server, const session_pointer& session);
     void start(open_request request);
+    engine_ticket& ticket_named(const std::string& server_and_id);
     // Ends leases that have run out.
     void expire();
 
