serving: repeat a release while an unanswered order may be carried out late

A server may leave an order unanswered and carry it out seconds later, after newer ones. A renewal that is carried out after the release sets the memory aside again for the whole lease, up to 3.5 s after that, with no request left (LEAK). The same happens without any fault when a release overtakes a renewal on another connection.

Evidence: "memory is gone soon after its request although renewals are carried out late" failed before: with renewals 2 s late, the memory was still held 4.0 s after the end of the request that used it.

The release is sent again when the answer of an open renewal arrives, and each second for 5 s after an order that had no answer.

--- a/src/serving/reserved_part.cpp
+++ b/src/serving/reserved_part.cpp
@@ -17,20 +17,36 @@
 void reserved_part::reserve(duration hold, std::function<void(bool)> done) {
     m_state.calls.call(m_address, m_state.wire.reserve_memory(m_name, m_tokens, hold), reservation_call_timeout,
                        [self = shared_from_this(), done = std::move(done)](const call_result& result) {
-                           const bool reserved = result.answer && result.answer->head.status == 200;
-                           if (!reserved) {
-                               log_line("memory not reserved")
-                                   .add("reservation", self->m_name)
-                                   .add("server", self->m_server.value)
-                                   .add("status", result.answer ? result.answer->head.status : 0)
-                                   .add("reason", result.failure)
-                                   .info();
-                           }
-                           done(reserved);
+                           self->on_reserve_answer(result);
+                           done(result.answer && result.answer->head.status == 200);
                        });
 }
 
+void reserved_part::on_reserve_answer(const call_result& result) {
+    if (!result.answer) {
+        m_late_until = m_state.timers.now() + late_order_time;
+    }
+    if (!result.answer || result.answer->head.status != 200) {
+        log_line("memory not reserved")
+            .add("reservation", m_name)
+            .add("server", m_server.value)
+            .add("status", result.answer ? result.answer->head.status : 0)
+            .add("reason", result.failure)
+            .info();
+    }
+    // The server may have carried out the order after the release.
+    if (m_released) {
+        release_again_after(duration::zero());
+    }
+}
+
 void reserved_part::release() {
+    if (!std::exchange(m_released, true)) {
+        send_release();
+    }
+}
+
+void reserved_part::send_release() {
     m_state.calls.call(m_address, m_state.wire.release_memory(m_name), reservation_call_timeout,
                        [self = shared_from_this()](const call_result& result) {
                            if (!result.answer) {
@@ -41,7 +57,20 @@
                                    .add("reason", result.failure)
                                    .warn();
                            }
+                           if (self->m_state.timers.now() < self->m_late_until) {
+                               self->release_again_after(release_repeat_period);
+                           }
                        });
 }
 
+void reserved_part::release_again_after(duration delay) {
+    if (std::exchange(m_release_scheduled, true)) {
+        return;
+    }
+    m_state.timers.after(delay, [self = shared_from_this()] {
+        self->m_release_scheduled = false;
+        self->send_release();
+    });
+}
+
 }  // namespace verbenahold::serving
