serving: a prompt whose memory is refused waits no longer than others

Callers of a prompt that needs memory at several servers got no answer before their time limit when a server kept refusing its part, and each of them sent orders to servers all the while, holding the parts that others granted for moments.

Cause: the time for which a request waits in the daemon was set back at the begin of each attempt, also of one that ended at the reservation, so that the request was placed and reserved for again each 20 ms until its deadline.

The time is now set back when the request is forwarded, and a refused reservation is tried again after 200 ms, like any wait within half the latency target.

--- a/src/routing/placer.hpp
+++ b/src/routing/placer.hpp
@@ -67,6 +67,8 @@
     duration retry_after{};
     // The reason is the prefill backlog of the servers.
     bool caused_by_prefill_backlog = false;
+    // Placing the request again sooner costs calls to servers for nothing.
+    duration min_retry_delay{};
 };
 
 using placement_result = std::variant<placement, no_placement>;
--- a/src/routing/wait_policy.cpp
+++ b/src/routing/wait_policy.cpp
@@ -20,16 +20,17 @@
 }  // namespace
 
 wait_decision decide_wait(const unplaced_request& request, const no_placement& reason) {
+    const retry_placement again{std::max(placement_retry_period, reason.min_retry_delay)};
     // An answer that has begun is lost unless a server continues it.
     if (request.answer_begun) {
-        return retry_placement{placement_retry_period};
+        return again;
     }
     const double part = reason.caused_by_prefill_backlog ? max_wait_fraction_for_prefill : max_wait_fraction;
     const auto max_wait = std::min(scaled(request.matched->latency_target, part), request.time_left);
     if (!request.servers_exist || request.waited >= max_wait) {
         return refuse_request{reason.retry_after};
     }
-    return retry_placement{placement_retry_period};
+    return again;
 }
 
 }  // namespace verbenahold::serving
--- a/src/serving/exchange_attempts.cpp
+++ b/src/serving/exchange_attempts.cpp
@@ -37,6 +37,9 @@
 // Retry-After when the servers' KV memory is full: about the time that the
 // answer to a long prompt takes.
 constexpr duration retry_after_out_of_memory = std::chrono::milliseconds(1'500);
+// Interval between two attempts to reserve memory for one request: memory becomes free
+// when answers end, and each attempt costs orders to servers.
+constexpr duration reservation_retry_delay = std::chrono::milliseconds(200);
 // A stream with this many events goes on: an engine that crashes as it begins to
 // answer may still send the first.
 constexpr std::size_t events_of_sound_stream = 2;
@@ -62,7 +65,6 @@
 }  // namespace
 
 void exchange::begin_attempt(const placement& chosen) {
-    m_waiting_since.reset();
     m_attempt.emplace();
     m_attempt->placed = chosen;
     m_attempt->server = chosen.primary.id;
@@ -105,7 +107,8 @@
             return;
         }
         self->end_attempt();
-        self->wait_for_server({"no server has memory for the prompt", retry_after_out_of_memory});
+        self->wait_for_server(
+            {"no server has memory for the prompt", retry_after_out_of_memory, false, reservation_retry_delay});
     });
 }
 
@@ -131,6 +134,7 @@
 }
 
 void exchange::forward() {
+    m_waiting_since.reset();
     const auto& chosen = m_attempt->placed;
     const auto request = m_state.wire.server_request(m_request, fields_to_add());
     const bool once = m_route->retry == retry_rule::at_most_once;
--- a/test/correctness/core_serving_wait_policy.cpp
+++ b/test/correctness/core_serving_wait_policy.cpp
@@ -48,3 +48,13 @@
     const auto matched = long_route();
     CHECK(refuses({&matched, 20ms, 10ms, false, true}, {"no place", 700ms, false}));
 }
+
+TEST_CASE("a request is not placed again before a retry can succeed") {
+    const auto matched = long_route();
+    const no_placement no_memory{"no memory", 700ms, false, 200ms};
+    for (const bool answer_begun : {false, true}) {
+        const auto decision = decide_wait({&matched, 100ms, 10s, answer_begun, true}, no_memory);
+        REQUIRE(std::holds_alternative<retry_placement>(decision));
+        CHECK(std::get<retry_placement>(decision).after == 200ms);
+    }
+}
--- a/test/error/serving_reservations.cpp
+++ b/test/error/serving_reservations.cpp
@@ -16,6 +16,9 @@
 
 // The platform's bound on memory that stays reserved after its last use.
 constexpr duration max_after_use = 4s;
+// A request waits at most half its latency target of three seconds for a place. Each
+// reservation and its release are two orders.
+constexpr int max_orders_of_refused_prompt = 40;
 // Two servers are left for a prompt over the memory of one when a third has rejected it.
 constexpr int engine_count = 3;
 
@@ -156,6 +159,19 @@
     CHECK(rig.engines.longest_unused() < 3s);
 }
 
+TEST_CASE("a prompt that no server has memory for is refused without asking for it over and over") {
+    engine_rig rig(9s);
+    REQUIRE(rig.ready);
+    rig.engines.on_order = [](const std::string&, const std::string& operation) {
+        return operation == "reserve" ? order_handling::refused : order_handling::at_once;
+    };
+    auto& caller = rig.call("host-1", scripted_engines::long_request("/long/x", "a-1"));
+    CHECK(rig.run_until([&] { return caller.received().find("Retry-After") != std::string::npos; }));
+    CHECK(caller.received().starts_with("HTTP/1.1 503"));
+    CHECK(rig.engines.orders <= max_orders_of_refused_prompt);
+    CHECK(rig.engines.count_queued() == 0);
+}
+
 TEST_CASE("memory is released however its request ends") {
     engine_rig rig(9s);
     REQUIRE(rig.ready);
