routing: reserve no memory for a prompt that would wait for a batch slot

The placer planned reservations also when it knew that the first server had no free slot.

One that fits a single server goes there without a reservation as before. Placements whose first server could not even hold its part when idle are dropped, since it would only reject the request. The lease still bounds what a daemon could not know.

--- a/src/routing/placer.cpp
+++ b/src/routing/placer.cpp
@@ -101,8 +101,8 @@
         m_weight = request_weight(engine, context.request.prompt_tokens);
     }
 
-    // The placement with the lowest cost.
-    placement best() {
+    // The placement with the lowest cost; empty if no servers can hold the prompt now.
+    std::optional<placement> best() {
         std::optional<placement> best;
         double lowest_cost = 0;
         for (const auto count : spread_counts) {
@@ -110,16 +110,16 @@
                 break;
             }
             const auto [candidate, cost] = spread_over(count);
-            if (!best || cost < lowest_cost) {
+            if (fits(candidate) && (!best || cost < lowest_cost)) {
                 best = candidate;
                 lowest_cost = cost;
             }
             // Parts would be too short to gain from spreading further.
-            if (m_prefill_ms / static_cast<double>(count) < min_part_ms) {
+            if (best && m_prefill_ms / static_cast<double>(count) < min_part_ms) {
                 break;
             }
         }
-        return *best;
+        return best;
     }
 
 private:
@@ -141,6 +141,16 @@
     // Cost of each server that takes part.
     static constexpr double server_cost = 0.07;
 
+    // Whether the first server could hold what is not reserved at helpers, if nothing
+    // else ran there. It rejects the request otherwise.
+    [[nodiscard]] bool fits(const placement& candidate) const {
+        auto needed = m_request.prompt_tokens + m_request.max_output_tokens;
+        for (const auto& helper : candidate.helpers) {
+            needed -= helper.reserved_tokens;
+        }
+        return needed <= m_engine.memory_tokens;
+    }
+
     [[nodiscard]] bool interactive() const { return is_interactive(m_request.matched->event_gap_target); }
 
     // Time until the server has finished the prefill of a part that is sent now.
@@ -220,13 +230,18 @@
 
     // Plans reservations at the helpers with the most free memory for the KV memory
     // that the primary can't hold. Returns the cost of the reservations, or the cost
-    // of too little memory if the helpers can't hold it either.
+    // of too little memory if the helpers can't hold it either. Without a free batch
+    // slot at the primary nothing is reserved, since the memory would be held unused
+    // until the request gets one.
     double plan_reservations(const std::vector<std::pair<double, std::size_t>>& ranked, placement& chosen) const {
         const auto needed = m_request.prompt_tokens + m_request.max_output_tokens;
         auto missing = needed - free_memory(m_servers[ranked.front().second]);
         if (missing <= 0) {
             return 0;
         }
+        if (m_servers[ranked.front().second].load.used_slots >= m_engine.batch_slots) {
+            return no_memory_cost * m_weight;
+        }
         std::vector<std::pair<std::int64_t, std::size_t>> holders;
         for (std::size_t rank = 1; rank < ranked.size(); ++rank) {
             holders.emplace_back(free_memory(m_servers[ranked[rank].second]), rank - 1);
@@ -278,19 +293,22 @@
     return found == placed.helpers.end() ? nullptr : &found->server;
 }
 
-placement random_policy::choose(const placement_context& context) const {
+placement_result random_policy::choose(const placement_context& context) const {
     return single_server_placement(context.servers[random_index(context.random, context.servers.size())]);
 }
 
-placement least_outstanding_policy::choose(const placement_context& context) const {
+placement_result least_outstanding_policy::choose(const placement_context& context) const {
     return place_least_outstanding(context);
 }
 
-placement lateness_policy::choose(const placement_context& context) const {
+placement_result lateness_policy::choose(const placement_context& context) const {
     if (!context.request.wanted->engine) {
         return place_least_outstanding(context);
     }
-    return spread_search(context, *context.request.wanted->engine).best();
+    if (auto best = spread_search(context, *context.request.wanted->engine).best()) {
+        return std::move(*best);
+    }
+    return no_placement{"no servers have memory and a free batch slot for the prompt", retry_after_out_of_memory};
 }
 
 placement_result placer::place(const placement_request& request, const server_registry& servers,
--- a/src/routing/placer.hpp
+++ b/src/routing/placer.hpp
@@ -73,6 +73,10 @@
 
 using placement_result = std::variant<placement, no_placement>;
 
+// Retry-After when the servers' KV memory is full: about the time that the
+// answer to a long prompt takes.
+inline constexpr duration retry_after_out_of_memory = std::chrono::milliseconds(1'500);
+
 // Input of a policy. `servers` are the candidates; there must be at least one.
 struct placement_context {
     const placement_request& request;
@@ -84,13 +88,13 @@
 
 // Chooses uniformly at random.
 struct random_policy {
-    placement choose(const placement_context& context) const;
+    placement_result choose(const placement_context& context) const;
 };
 
 // Chooses the server with the fewest outstanding requests of all daemons; prefers
 // the own zone among equals.
 struct least_outstanding_policy {
-    placement choose(const placement_context& context) const;
+    placement_result choose(const placement_context& context) const;
 };
 
 // Chooses the placement with the lowest predicted cost of lateness, for this
@@ -98,7 +102,7 @@
 // prompts of 1k to 700k tokens share all servers and come in bursts of similar
 // length. Plain calls go to the server with the fewest outstanding requests.
 struct lateness_policy {
-    placement choose(const placement_context& context) const;
+    placement_result choose(const placement_context& context) const;
 };
 
 using placement_policy = std::variant<lateness_policy, least_outstanding_policy, random_policy>;
--- a/src/serving/exchange_attempts.cpp
+++ b/src/serving/exchange_attempts.cpp
@@ -34,9 +34,6 @@
 // could not deliver an event before that.
 constexpr duration max_engine_step = std::chrono::milliseconds(1'900);
 constexpr duration silence_check_period = std::chrono::milliseconds(100);
-// Retry-After when the servers' KV memory is full: about the time that the
-// answer to a long prompt takes.
-constexpr duration retry_after_out_of_memory = std::chrono::milliseconds(1'500);
 // Interval between two attempts to reserve memory for one request: memory becomes free
 // when answers end, and each attempt costs orders to servers.
 constexpr duration reservation_retry_delay = std::chrono::milliseconds(200);
--- a/test/correctness/core_serving_placement.cpp
+++ b/test/correctness/core_serving_placement.cpp
@@ -176,6 +176,57 @@
     }
 }
 
+// Places a prompt on servers of which each has this many open requests with this context.
+placement_result place_beside(std::int64_t prompt_tokens, int requests_per_server, std::int64_t context_tokens) {
+    server_registry registry;
+    engine_load load;
+    std::uint64_t number = 0;
+    for (int index = 0; index < servers; ++index) {
+        const server_name id("s" + std::to_string(index));
+        registry.update({id, service_name("llm"), "10.0.0.1:80", zone_name("a"), 16, server_phase::ready, 0}, {});
+        for (int open = 0; open < requests_per_server; ++open) {
+            const work_id work{1, ++number};
+            load.add(work, {id, 0, context_tokens, true, 1'000ms, 3'000ms, 1}, {}, time_point(15s));
+            load.on_prefill_done(work, {});
+        }
+    }
+    service wanted_service;
+    wanted_service.name = service_name("llm");
+    wanted_service.engine = engine();
+    const auto kind = long_kind(1);
+    placement_request wanted;
+    wanted.wanted = &wanted_service;
+    wanted.matched = &kind.matched;
+    wanted.prompt_tokens = prompt_tokens;
+    wanted.max_output_tokens = 1'000;
+    wanted.time_left = 15s;
+    placer placing(lateness_policy{}, seed);
+    return placing.place(wanted, registry, load, [](const server_entry&) { return true; }, {});
+}
+
+std::int64_t reserved_tokens(const placement& placed) {
+    std::int64_t reserved = 0;
+    for (const auto& helper : placed.helpers) {
+        reserved += helper.reserved_tokens;
+    }
+    return reserved;
+}
+
+TEST_CASE("no memory is reserved for a prompt that would wait for a batch slot") {
+    const auto with_slot = place_beside(400'000, 15, 100);
+    REQUIRE(std::holds_alternative<placement>(with_slot));
+    CHECK(reserved_tokens(std::get<placement>(with_slot)) > 0);
+    CHECK(std::holds_alternative<no_placement>(place_beside(400'000, 16, 100)));
+    // A prompt within one server's memory waits there without a reservation.
+    const auto waits = place_beside(250'000, 16, 10'000);
+    REQUIRE(std::holds_alternative<placement>(waits));
+    CHECK(reserved_tokens(std::get<placement>(waits)) == 0);
+}
+
+TEST_CASE("a prompt that no servers can hold together is not sent to any") {
+    CHECK(std::holds_alternative<no_placement>(place_beside(700'000, 3, 100'000)));
+}
+
 TEST_CASE("a prefill backlog refuses a large prompt, unless its answer has begun") {
     server_registry registry;
     engine_load load;
