--- a/src/serving/exchange_attempts.cpp
+++ b/src/serving/exchange_attempts.cpp
@@ -34,9 +34,9 @@
 // could not deliver an event before that.
 constexpr duration max_engine_step = std::chrono::milliseconds(1'900);
 constexpr duration silence_check_period = std::chrono::milliseconds(100);
-// Retry-After when the servers' KV memory is full: about the time that the
-// answer to a long prompt takes.
-constexpr duration retry_after_out_of_memory = std::chrono::milliseconds(1'500);
+// Interval between two attempts to reserve memory for one request: memory becomes free
+// when answers end, and each attempt costs orders to servers.
+constexpr duration reservation_retry_delay = std::chrono::milliseconds(200);
 // A stream with this many events goes on: an engine that crashes as it begins to
 // answer may still send the first.
 constexpr std::size_t events_of_sound_stream = 2;
@@ -73,7 +73,6 @@
 }  // namespace
 
 void exchange::begin_attempt(const placement& chosen) {
-    m_waiting_since.reset();
     m_attempt.emplace();
     m_attempt->placed = chosen;
     m_attempt->server = chosen.primary.id;
@@ -93,16 +92,18 @@
     std::vector<memory_reservation::part> parts;
     for (const auto& helper : m_attempt->placed.helpers) {
         if (helper.reserved_tokens > 0) {
-            parts.push_back({helper.server.address, helper.reserved_tokens, {}});
+            parts.push_back({helper.server.id, helper.server.address, helper.reserved_tokens});
         }
     }
     log_line("reserving memory")
         .add("request", m_request.attempt_id)
+        .add("first_server", m_attempt->server.value)
         .add("servers", parts.size())
         .add("tokens", m_request.prompt_tokens)
         .info();
     const auto name = std::to_string(m_state.boot) + '-' + std::to_string(m_attempt->work.number);
-    m_attempt->memory = std::make_shared<memory_reservation>(m_state, name, std::move(parts));
+    m_attempt->memory = std::make_shared<memory_reservation>(
+        m_state, memory_reservation::owner{m_request.attempt_id, m_attempt->server}, name, parts);
     const auto weak = weak_from_this();
     m_attempt->memory->acquire([weak, number = m_attempt->work.number](bool reserved) {
         const auto self = weak.lock();
@@ -114,7 +115,8 @@
             return;
         }
         self->end_attempt();
-        self->wait_for_server({"no server has memory for the prompt", retry_after_out_of_memory});
+        self->wait_for_server(
+            {"no server has memory for the prompt", retry_after_out_of_memory, false, reservation_retry_delay});
     });
 }
 
@@ -140,6 +142,7 @@
 }
 
 void exchange::forward() {
+    m_waiting_since.reset();
     const auto& chosen = m_attempt->placed;
     const auto request = m_state.wire.server_request(m_request, fields_to_add());
     const bool once = m_route->retry == retry_rule::at_most_once;
@@ -313,6 +316,9 @@
         return;
     }
     m_attempt->last_event_at = m_state.timers.now();
+    if (m_attempt->memory) {
+        m_attempt->memory->on_used("event");
+    }
     if (m_attempt->events_received == 0) {
         m_attempt->first_event_at = m_attempt->last_event_at;
     }
@@ -518,7 +524,9 @@
                                        std::holds_alternative<attempt_not_sent>(outcome) ||
                                        m_attempt->decoded.wrong_server;
     // The answer may name one of the helping servers as the faulty one.
-    const auto at_fault = server_at_fault();
+    // A helper that lacks memory which this daemon gave up is not faulty.
+    const bool memory_given_up = m_attempt->memory && m_attempt->memory->is_given_up();
+    const auto at_fault = memory_given_up ? server : server_at_fault();
     const bool other_at_fault = at_fault != server;
     if (speaks_against_server || other_at_fault) {
         m_state.servers.report_failure(at_fault, now);
--- a/test/correctness/serving_platform_protocol.cpp
+++ b/test/correctness/serving_platform_protocol.cpp
@@ -167,6 +167,25 @@
     CHECK_FALSE(read(200, "<html>"));
 }
 
+TEST_CASE("a reservation counts as used only if the server's report says so") {
+    const auto state_of = [](const std::string& tickets) {
+        return platform::decode_reservation_state("1-7-0", {{200, "", {}}, R"({"queued":1)" + tickets + "}"});
+    };
+    const auto ticket = [](const std::string& id, const std::string& state) {
+        return R"(,"tickets":[{"id":"1-7","tokens":5,"state":"used","age-ms":1},{"id":")" + id +
+               R"(","tokens":5,"state":")" + state + R"(","age-ms":1}])";
+    };
+    CHECK(state_of(ticket("1-7-0", "used")) == reservation_state::used);
+    CHECK(state_of(ticket("1-7-0", "held")) == reservation_state::unused);
+    CHECK(state_of(ticket("1-7-0", "waiting")) == reservation_state::unused);
+    CHECK(state_of(ticket("1-7-1", "used")) == reservation_state::absent);
+    CHECK(state_of(R"(,"tickets":[])") == reservation_state::absent);
+    CHECK_FALSE(state_of(""));
+    CHECK_FALSE(state_of(R"(,"tickets":5)"));
+    CHECK_FALSE(platform::decode_reservation_state("1-7-0", {{503, "", {}}, R"({"tickets":[]})"}));
+    CHECK_FALSE(platform::decode_reservation_state("1-7-0", {{200, "", {}}, "<html>"}));
+}
+
 TEST_CASE("the store's answers are distinguished: rows, expired history, refusals and malformed bodies") {
     const auto answer = [](int status, const char* body) { return platform::decode_page({{status, "", {}}, body}); };
     const auto page = answer(200, R"({"rows":[{"table":"op","part":"","key":"config","value":"bm9kZS0x","ver":4},
@@ -214,6 +233,18 @@
     CHECK(fault_of("\"provider\"", "\"store\"") == "provider");
 }
 
+TEST_CASE("the bound on unused memory is read, and a reload takes it over") {
+    const std::string text = R"({"node":"n","zone":"z","ip":"10.0.0.1","internal-ports":[7340,7355],
+        "listen":{"front":"10.0.0.1:1","ready":"10.0.0.1:2","directory":"10.0.0.1:3"},
+        "bounds":{"grace-s":8,"budget-ratio":0.2,"budget-slack":106,"budget-window-s":10,"cold-overage":1.5,
+                  "cold-slack":5,"idle-max-ms":6500},"provider":{"address":"10.0.0.9:1"}})";
+    const auto read = platform::decode_settings(text);
+    REQUIRE(std::holds_alternative<serving_settings>(read));
+    serving_settings current;
+    apply_reload(current, std::get<serving_settings>(read));
+    CHECK(current.max_unused_reservation == 6'500ms);
+}
+
 // The settings file may change while the daemon runs, with or without a signal.
 TEST_CASE("a reload changes limits, and addresses change only at a restart") {
     serving_settings current;
