--- a/test/soak/backend_answers.cpp
+++ b/test/soak/backend_answers.cpp
@@ -138,7 +138,7 @@
     const std::string bytes(65'536, 'x');
     const auto piece = chunked ? chunk_text(bytes) : bytes;
     const auto begin =
-        std::string(head) + (chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "Content-Length: 100000000000\r\n\r\n");
+        std::string(head) + (chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "Connection: close\r\n\r\n");
     bool alive = co_await write_all(open.socket, begin);
     for (const double until = now_ms() + endless_ms; alive && now_ms() < until && !open.peer_left;) {
         alive = co_await write_all(open.socket, piece);
--- a/test/soak/backend_server.cpp
+++ b/test/soak/backend_server.cpp
@@ -146,6 +146,10 @@
             co_await pause_ms(20);
             continue;
         }
+        if (roll(misbehaviour::few_channels)) {
+            socket.set_option(boost::asio::socket_base::linger(true, 0), error);
+            continue;
+        }
         socket.set_option(tcp::no_delay(true), error);
         auto open = std::make_shared<session>(m_loop, std::move(socket), request_limits);
         m_sessions.insert(open);
--- a/test/soak/backend_server.hpp
+++ b/test/soak/backend_server.hpp
@@ -39,6 +39,7 @@
     endless,             // sends bytes without end
     idle_drop,           // closes idle channels without notice
     order_late,          // leaves orders unanswered and carries them out seconds later
+    few_channels,        // resets new channels as soon as they are open
 };
 
 class backend_server {
--- a/test/soak/client_load.cpp
+++ b/test/soak/client_load.cpp
@@ -151,6 +151,10 @@
     request->id = id.data();
     request->host = open.host;
     request->number_on_channel = open.requests;
+    request->deadline_ms = kind.deadline_ms;
+    if (uniform(random) < m_habits.impatient) {
+        request->deadline_ms = std::round(50 + uniform(random) * (kind.streams ? 2'000 : 250));
+    }
     request->target = '/' + kind.name + "/x" + std::to_string(m_sent % 7);
     const bool has_body = kind.name != "status";
     if (has_body) {
@@ -158,7 +162,7 @@
     }
     text += (has_body ? "POST " : "GET ") + request->target + " HTTP/1.1\r\nHost: " + host_header +
             "\r\nVerbenahold-Attempt-Id: " + request->id +
-            "\r\nVerbenahold-Deadline-Ms: " + std::to_string(static_cast<int>(kind.deadline_ms)) +
+            "\r\nVerbenahold-Deadline-Ms: " + std::to_string(static_cast<int>(request->deadline_ms)) +
             "\r\nAuthorization: Bearer " + key + "\r\n";
     if (kind.prompt_tokens > 0) {
         auto tokens = static_cast<std::int64_t>(std::max(60.0, log_normal(random, kind.prompt_tokens, 0.55)));
@@ -191,7 +195,8 @@
 awaitable<void> client_load::read_answer(connection& open, const std::shared_ptr<request_record>& request,
                                          double leave_at, bool slowly) {
     client_outcome outcome;
-    const double give_up_at = std::min(leave_at, request->sent + request->kind->deadline_ms + patience_ms);
+    const double asked = request->is_pipelined ? now_ms() : request->sent;
+    const double give_up_at = std::min(leave_at, asked + request->deadline_ms + patience_ms);
     const time_limit limit(m_loop, open.socket, give_up_at);
     open.parser.restart(false);
     auto state = open.parser.feed({});
@@ -269,6 +274,7 @@
         for (int which = 0; which < count; ++which) {
             ++open->requests;
             requests.push_back(make_request(random, *open, text));
+            requests.back()->is_pipelined = which > 0;
         }
         co_await write_all(open->socket, text);
         const double leave_at = uniform(random) < m_habits.leaves ? now_ms() + uniform(random) * 800 : 1e9;
--- a/test/soak/client_load.hpp
+++ b/test/soak/client_load.hpp
@@ -29,6 +29,7 @@
     double leaves = 0;
     double pipelines = 0;
     double reads_slowly = 0;
+    double impatient = 0;
     double new_channel = 0.1;
     // Share of clients that stay with one host, whatever the directory says.
     double pinned = 0.5;
--- a/test/soak/fault_series.cpp
+++ b/test/soak/fault_series.cpp
@@ -38,6 +38,33 @@
     all.taken_daemons.erase(which);
 }
 
+awaitable<void> kill_all(fleet& all) {
+    std::vector<std::pair<std::size_t, std::size_t>> killed;
+    for (std::size_t which = 0; which < all.daemons.size(); ++which) {
+        auto& daemon = *all.daemons[which];
+        if (daemon.is_running() && all.taken_daemons.insert(which).second) {
+            killed.emplace_back(which, open_span(all.notes.host_impairments[daemon.name()], "SIGKILL of all"));
+            daemon.expect_end();
+            daemon.signal(SIGKILL);
+        }
+    }
+    all.notes.note("SIGKILL of all daemons");
+    co_await pause_ms(between(all, 300, 2'000));
+    for (const auto& [which, span] : killed) {
+        auto& daemon = *all.daemons[which];
+        while (daemon.is_running()) {
+            co_await pause_ms(20);
+        }
+        daemon.start();
+        close_span(all.notes.host_impairments[daemon.name()], span);
+    }
+    for (const auto& [which, span] : killed) {
+        co_await all.wait_until_ready(which, 10'000);
+        all.taken_daemons.erase(which);
+    }
+    all.notes.note("all daemons started");
+}
+
 awaitable<void> freeze_process(fleet& all) {
     const auto which = co_await all.take_daemon();
     auto& daemon = *all.daemons[which];
@@ -128,11 +155,11 @@
 // ---- servers ----
 
 std::string_view name_of(misbehaviour which) {
-    constexpr std::array<std::string_view, 19> names{
+    constexpr std::array<std::string_view, 20> names{
         "full",         "silent",       "dark",       "slow",      "reset before",      "reset mid",
         "answer lost",  "own failures", "surplus",    "late copy", "late copy unnamed", "late copy of order",
         "wrong length", "no length",    "broken off", "hang",      "endless",           "idle drop",
-        "order late"};
+        "order late",   "few channels"};
     return names.at(static_cast<std::size_t>(which));
 }
 
@@ -172,7 +199,7 @@
         }
     }
     all.notes.note("memory of " + std::to_string(chosen.size()) + " engines taken");
-    co_await pause_ms(between(all, 2'000, 13'000));
+    co_await pause_ms(between(all, 4'000, 14'000));
     for (auto* server : chosen) {
         server->engine()->foreign_tokens = 0;
     }
@@ -291,6 +318,10 @@
     co_await habit_fault(all, &all.habits.reads_slowly, 0, 0.2, "clients read slowly");
 }
 
+awaitable<void> clients_impatient(fleet& all) {
+    co_await habit_fault(all, &all.habits.impatient, 0, 0.4, "clients are impatient");
+}
+
 awaitable<void> long_prompts(fleet& all) {
     co_await habit_fault(all, &all.habits.long_prompts, 0.1, 0.9, "long prompts");
 }
@@ -302,6 +333,7 @@
     static const std::vector<fault_kind> faults{
         {"term", "SIGTERM and a new start, in turn", stop_in_turn, 800},
         {"kill", "SIGKILL and a new start", kill_process, 2'500},
+        {"herd", "all daemons are killed at once and started again", kill_all, 9'000},
         {"freeze", "SIGSTOP, later SIGCONT", freeze_process, 1'500},
         {"slow-host", "a daemon runs a fifth of the time", slow_process, 1'500},
         {"hup", "changed settings and SIGHUP", reload_settings, 600},
@@ -331,6 +363,7 @@
         {"endless", "answers without end", misbehave<endless, 30, 1>},
         {"idle-drop", "idle channels are closed without notice", misbehave<idle_drop, 100, 6>},
         {"order-late", "orders are unanswered and carried out seconds later", misbehave<order_late, 40, 4>},
+        {"few-channels", "servers reset new channels", misbehave<few_channels, 50, 3>},
         {"store-down", "the store refuses all calls", store_down, 3'000},
         {"store-reset", "the store resets channels", store_resets, 3'000},
         {"store-slow", "the store is slow", store_slow, 3'000},
@@ -341,6 +374,7 @@
         {"leave", "clients leave early", clients_leave},
         {"pipeline", "clients send two requests at once", clients_pipeline},
         {"slow-read", "clients read slowly", clients_read_slowly},
+        {"impatient", "some requests have a short time limit", clients_impatient},
         {"long", "most long prompts exceed one engine's memory", long_prompts},
     };
     return faults;
--- a/test/soak/fleet.cpp
+++ b/test/soak/fleet.cpp
@@ -147,9 +147,11 @@
     wanted.version += 1 + static_cast<int>(random() % 3);
     store.put("op", "config", desired_state_text());
     notes.note("desired state " + std::to_string(wanted.version));
-    // The store confirms at once.
-    notes.desired_states.push_back(
-        {now_ms(), now_ms() + config_apply_ms + 1'000, "desired state " + std::to_string(wanted.version)});
+    // The store confirms at once. The first one is there before the load.
+    if (load) {
+        notes.desired_states.push_back(
+            {now_ms(), now_ms() + config_apply_ms + 1'000, "desired state " + std::to_string(wanted.version)});
+    }
 }
 
 // ---- daemons ----
--- a/test/soak/journal.hpp
+++ b/test/soak/journal.hpp
@@ -83,6 +83,9 @@
     const request_kind* kind = nullptr;
     std::string host;
     int number_on_channel = 0;
+    // Sent together with the request before it on the channel.
+    bool is_pipelined = false;
+    double deadline_ms = 0;
     double sent = 0;
     std::string body;
     std::string target;
--- a/test/soak/judge.cpp
+++ b/test/soak/judge.cpp
@@ -105,7 +105,7 @@
         if (!outcome.complete && !outcome.gave_up) {
             judge_loss(request);
         }
-        if (outcome.gave_up && outcome.ended > request->sent + kind.deadline_ms + 500 &&
+        if (outcome.gave_up && !request->is_pipelined && outcome.ended > request->sent + request->deadline_ms + 500 &&
             is_in_touch(*request, outcome.ended)) {
             note("UNANSWERED", request, "no final answer half a second after the time limit");
         }
@@ -178,49 +178,70 @@
     }
 
     // An impairment of the host, of a server that was asked, or of the store for
-    // requests that it excuses.
-    bool is_impaired(const request_record& request) const {
+    // requests that it excuses; null if there is none.
+    const time_span* impairment(const request_record& request) const {
         const double from = request.sent - contact_ms;
         const double to = request.outcome->ended;
-        const bool server_impaired =
-            std::any_of(request.arrivals.begin(), request.arrivals.end(), [&](const auto& seen) {
-                return overlapping(spans_of(m_notes.server_impairments, seen->server), from, to) != nullptr;
-            });
-        return server_impaired || overlapping(spans_of(m_notes.host_impairments, request.host), from, to) != nullptr ||
-               (request.kind->streams && overlapping(m_notes.store_impairments, from, to) != nullptr);
+        for (const auto& seen : request.arrivals) {
+            if (const auto* span = overlapping(spans_of(m_notes.server_impairments, seen->server), from, to)) {
+                return span;
+            }
+        }
+        if (const auto* span = overlapping(spans_of(m_notes.host_impairments, request.host), from, to)) {
+            return span;
+        }
+        return request.kind->streams ? overlapping(m_notes.store_impairments, from, to) : nullptr;
     }
 
-    // The request's channel ended without a complete answer.
+    // The request's channel ended without a complete answer. Every such request is
+    // reported, also where a rule excuses it.
     void judge_loss(const request_ptr& request) {
         const auto& outcome = *request->outcome;
         const bool passed_on = !request->arrivals.empty();
-        const bool broken_off = passed_on && !request->arrivals.back()->disruption.empty();
-        const bool late = outcome.ended - request->sent > request->kind->deadline_ms - time_limit_margin_ms;
-        if (broken_off || late) {
+        const auto excuse = [&](const std::string& why) { note("excused", request, why); };
+        if (passed_on && !request->arrivals.back()->disruption.empty()) {
+            excuse("the server broke off: " + request->arrivals.back()->disruption);
+            return;
+        }
+        if (outcome.ended - request->sent > request->deadline_ms - time_limit_margin_ms) {
+            excuse("the time limit was reached");
             return;
         }
-        if (passed_on) {
-            m_cuts.push_back(request);
+        if (const auto* span = impairment(*request)) {
+            excuse("impairment: " + span->what);
+            return;
         }
-        if (passed_on && outcome.status == 0 && request->number_on_channel > 1 && !is_impaired(*request) &&
+        if (passed_on && outcome.status == 0 && request->number_on_channel > 1 &&
             is_in_touch(*request, outcome.ended)) {
             m_lost_on_kept_channels.push_back(request);
         }
         // Unread bytes make the kernel reset the channel.
-        const bool was_read = passed_on || (!outcome.channel_reset && outcome.ended - request->sent > loss_slack_ms);
-        if (!was_read || is_impaired(*request)) {
+        if (!passed_on && (outcome.channel_reset || outcome.ended - request->sent <= loss_slack_ms)) {
+            excuse("not read");
             return;
         }
+        judge_planned_work(request, passed_on);
+    }
+
+    void judge_planned_work(const request_ptr& request, bool passed_on) {
+        const auto& outcome = *request->outcome;
         for (const auto& stop : spans_of(m_notes.stops, request->host)) {
             const bool around = outcome.ended >= stop.from && request->sent <= stop.to &&
                                 outcome.ended <= stop.from + grace_ms + stop_after_grace_ms;
+            if (!around) {
+                continue;
+            }
             const bool at_work_to_the_end =
                 passed_on && request->sent <= stop.from + last_chance_ms &&
                 request->arrivals.back()->ended.value_or(outcome.ended) >= stop.from + grace_ms * 5 / 6;
-            if (around && !at_work_to_the_end) {
-                add("LOST", request, "cut in a planned stop" + std::string(passed_on ? "" : ", not passed on"));
-                return;
+            if (at_work_to_the_end) {
+                note("excused", request, "at work in the last sixth of the grace period");
+            } else {
+                add("LOST", request,
+                    "cut in a planned stop" + std::string(passed_on ? "" : ", not passed on") +
+                        (request->is_pipelined ? ", pipelined" : ""));
             }
+            return;
         }
         for (const auto& reload : spans_of(m_notes.reloads, request->host)) {
             if (request->sent >= reload.from && request->sent <= reload.to && outcome.ended >= reload.from) {
@@ -228,10 +249,7 @@
                 return;
             }
         }
-        const auto stopped = overlapping(spans_of(m_notes.stops, request->host), request->sent, outcome.ended);
-        if (stopped == nullptr && outcome.ended - request->sent < 0.7 * request->kind->deadline_ms) {
-            m_cuts_at_sound_hosts.push_back(request);
-        }
+        m_cuts_at_sound_hosts.push_back(request);
     }
 
     void judge_kept_channels() {
@@ -260,7 +278,9 @@
         }
         std::map<std::string, std::pair<std::vector<request_ptr>, std::vector<request_ptr>>> cuts;
         for (const auto& request : m_cuts_at_sound_hosts) {
+            const double took = request->outcome->ended - request->sent;
             const bool inside =
+                took < 0.7 * request->deadline_ms &&
                 overlapping(m_notes.desired_states, request->outcome->ended, request->outcome->ended) != nullptr;
             auto& of_host = cuts[request->host];
             (inside ? of_host.first : of_host.second).push_back(request);
@@ -346,7 +366,6 @@
     const journal& m_notes;
     verdict m_verdict;
     std::vector<request_ptr> m_lost_on_kept_channels;
-    std::vector<request_ptr> m_cuts;
     std::vector<request_ptr> m_cuts_at_sound_hosts;
 };
 
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -10,6 +10,7 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 
 #include <sys/resource.h>
@@ -28,6 +29,17 @@
     setrlimit(RLIMIT_NOFILE, &limit);
 }
 
+// Logs and settings of an earlier run are removed.
+void prepare_folder(const std::filesystem::path& folder) {
+    std::filesystem::create_directories(folder);
+    for (const auto& entry : std::filesystem::directory_iterator(folder)) {
+        const auto extension = entry.path().extension();
+        if (extension == ".log" || extension == ".json") {
+            std::filesystem::remove(entry.path());
+        }
+    }
+}
+
 awaitable<void> play(fleet& all, const soak_options& options, io_context& loop) {
     co_await all.start();
     const double ends = now_ms() + options.seconds * 1'000;
@@ -100,6 +112,7 @@
     raise_descriptor_limit();
     int code = 2;
     try {
+        prepare_folder(options->folder);
         io_context loop(1);
         fleet all(loop, *options);
         boost::asio::co_spawn(loop, play(all, *options, loop), boost::asio::detached);
--- a/test/soak/soak_options.cpp
+++ b/test/soak/soak_options.cpp
@@ -51,7 +51,7 @@
     auto add = known.add_options();
     add("help", "print this text");
     add("daemon", options::value(&chosen.daemon)->required(), "path of verbenahold-serve");
-    add("folder", options::value(&chosen.folder)->required(), "empty folder for settings and logs");
+    add("folder", options::value(&chosen.folder)->required(), "folder for settings, logs and cases");
     add("seed", options::value(&chosen.seed)->default_value(chosen.seed), "seed of faults and load");
     add("hosts", options::value(&chosen.hosts)->default_value(chosen.hosts), "number of daemons");
     add("engines", options::value(&chosen.engines)->default_value(chosen.engines), "servers of the model");
--- a/test/soak/soak_options.hpp
+++ b/test/soak/soak_options.hpp
@@ -13,10 +13,10 @@
     std::string folder;
     std::uint64_t seed = 1;
     int hosts = 9;
-    int engines = 8;
+    int engines = 12;
     int plain_servers = 4;
-    int clients = 60;
-    double requests_per_second = 50;
+    int clients = 80;
+    double requests_per_second = 60;
     double seconds = 40;
     std::vector<std::string> faults;
     // Cases of broken rules that are printed in full.
