Log and count why a caller's connection ended before its answer

When a request was lost, the logs could not tell a caller that left from a stop, a broken server, a used-up budget, the time limit or a failed write, nor whether a complete answer was left unwritten. Each connection that ends before the answer to its last request is written now logs one line with the cause, the bytes made and not yet written, and the time since the stop signal, the last reload and the last desired state, and adds to the counter of its cause.

--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -158,7 +158,7 @@
     const auto self = shared_from_this();
     const bool ran = m_history.may_have_run > 0;
     if (m_history.answer_begun) {
-        cut_off("out of time");
+        cut_off(early_end::out_of_time, "out of time");
     } else if (ran) {
         fail(504, "out of time");
     } else {
@@ -187,18 +187,23 @@
     }
 }
 
-void exchange::cut_off(std::string_view reason) {
+void exchange::cut_off(early_end cause, std::string_view reason) {
     auto* sink = m_sink;
     finish("cut off", 0, reason);
     if (sink != nullptr) {
-        sink->cut_off();
+        sink->cut_off(cause);
     }
 }
 
-void exchange::on_caller_disconnected() {
+void exchange::on_connection_ended(early_end cause) {
     m_sink = nullptr;
-    if (!m_ended) {
+    if (m_ended) {
+        return;
+    }
+    if (cause == early_end::caller_left) {
         finish("cancelled", 0, "the caller left");
+    } else {
+        finish("cut off", 0, early_end_name(cause));
     }
 }
 
--- a/src/serving/exchange.hpp
+++ b/src/serving/exchange.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "attempt_policy.hpp"
+#include "early_end.hpp"
 #include "event_splitter.hpp"
 #include "gateway_state.hpp"
 #include "memory_reservation.hpp"
@@ -35,7 +36,7 @@
     virtual void end_stream() = 0;
     // Breaks off an incomplete stream in a way that the caller can tell from a
     // complete one. The exchange has ended.
-    virtual void cut_off() = 0;
+    virtual void cut_off(early_end cause) = 0;
     // Bytes that are not yet written to the caller's connection.
     [[nodiscard]] virtual std::size_t unsent_bytes() const = 0;
 };
@@ -64,7 +65,7 @@
 
 class exchange : public std::enable_shared_from_this<exchange> {
 public:
-    // `sink` outlives the exchange or calls on_caller_disconnected() first.
+    // `sink` outlives the exchange or calls on_connection_ended() first.
     exchange(gateway_state& state, answer_sink& sink, caller_request request, time_point received_at);
     ~exchange();
     exchange(const exchange&) = delete;
@@ -73,8 +74,8 @@
     exchange& operator=(exchange&&) = delete;
 
     void start();
-    // The caller closed its connection.
-    void on_caller_disconnected();
+    // The caller's connection has ended, for this cause.
+    void on_connection_ended(early_end cause);
     // Everything sent so far is written to the caller's connection.
     void on_output_written();
 
@@ -114,7 +115,7 @@
     void handle_outcome(const attempt_outcome& outcome, std::string_view reason);
     void send_answer(const http_answer& answer);
     void fail(int status, std::string_view reason, std::optional<duration> retry_after = std::nullopt);
-    void cut_off(std::string_view reason);
+    void cut_off(early_end cause, std::string_view reason);
     void finish(std::string_view outcome, int status, std::string_view reason);
 
     [[nodiscard]] duration time_left() const { return m_deadline - m_state.timers.now(); }
--- a/src/serving/exchange_attempts.cpp
+++ b/src/serving/exchange_attempts.cpp
@@ -500,7 +500,7 @@
             return;
         }
         if (m_history.answer_begun) {
-            cut_off("the budget for repeats is used up");
+            cut_off(early_end::no_retry_budget, "the budget for repeats is used up");
         } else if (std::holds_alternative<attempt_failed>(outcome)) {
             send_answer(failure);
         } else if (m_history.may_have_run > 0) {
@@ -519,7 +519,7 @@
             fail(502, gone->reason);
         }
     } else {
-        cut_off(reason);
+        cut_off(early_end::server_failed, reason);
     }
 }
 
--- a/src/serving/front_session.cpp
+++ b/src/serving/front_session.cpp
@@ -88,7 +88,7 @@
             self->close_gracefully();
             return;
         }
-        self->close_socket();
+        self->close_socket(early_end::caller_stalled);
     });
 }
 
@@ -109,7 +109,7 @@
 void front_session::on_read(const boost::system::error_code& error, std::size_t count) {
     if (error) {
         m_input_ended = true;
-        abandon();
+        abandon(early_end::caller_left);
         return;
     }
     if (m_closing) {
@@ -167,6 +167,9 @@
     m_reader.set_bounds(bounds());
     auto request = m_state.wire.read_request(m_reader.take_request());
     m_head_request = request.request.method == "HEAD";
+    m_request_id = request.attempt_id;
+    m_answer_bytes = 0;
+    m_answer_complete = false;
     m_exchange = std::make_shared<exchange>(m_state, *this, std::move(request), m_request_began);
     m_self = shared_from_this();
     const auto running = m_exchange;
@@ -174,14 +177,15 @@
 }
 
 void front_session::answer(const http_answer& answer) {
-    const bool close = !m_keep || m_state.stopping;
+    const bool close = !m_keep || m_state.stop.has_begun();
+    m_answer_complete = true;
     write(answer_bytes({{answer.head.status, answer.head.reason, end_to_end_fields(answer.head.fields)}, answer.body},
                        close, m_head_request));
     request_ended(!close);
 }
 
 void front_session::begin_stream(const http_answer_head& head) {
-    m_keep = m_keep && !m_state.stopping && !m_unchunked_stream;
+    m_keep = m_keep && !m_state.stop.has_begun() && !m_unchunked_stream;
     std::string bytes = "HTTP/1.1 " + std::to_string(head.status) + ' ' + head.reason + "\r\n";
     for (const auto& field : end_to_end_fields(head.fields)) {
         bytes.append(field.name).append(": ").append(field.value).append("\r\n");
@@ -200,20 +204,21 @@
 }
 
 void front_session::end_stream() {
+    m_answer_complete = true;
     if (!m_unchunked_stream) {
         write("0\r\n\r\n");
     }
     request_ended(m_keep);
 }
 
-void front_session::cut_off() {
+void front_session::cut_off(early_end cause) {
     m_exchange.reset();
     const auto self = std::move(m_self);
     // With a reset the caller knows that the answer is incomplete, also if the
     // end of the connection would mark the end of the body.
     boost::system::error_code ignored;
     m_socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
-    close_socket();
+    close_socket(cause);
 }
 
 void front_session::request_ended(bool keep) {
@@ -252,6 +257,7 @@
         return;
     }
     m_unsent += bytes.size();
+    m_answer_bytes += bytes.size();
     m_output.push_back(std::move(bytes));
     if (!m_writing) {
         write_next();
@@ -284,7 +290,8 @@
     m_closing = true;
     m_state.timers.unsubscribe(m_timeout);
     if (m_writing) {
-        m_timeout = m_state.timers.after(max_last_write_time, [self = shared_from_this()] { self->close_socket(); });
+        m_timeout = m_state.timers.after(
+            max_last_write_time, [self = shared_from_this()] { self->close_socket(early_end::caller_stalled); });
     } else {
         end_writing();
     }
@@ -297,32 +304,61 @@
     // Closing a socket with unread input sends a reset, which could discard the
     // answer. So input is read until the caller closes or the time is over.
     m_state.timers.unsubscribe(m_timeout);
-    m_timeout = m_state.timers.after(linger, [self = shared_from_this()] { self->close_socket(); });
+    m_timeout =
+        m_state.timers.after(linger, [self = shared_from_this()] { self->close_socket(early_end::caller_stalled); });
 }
 
 void front_session::close_if_idle() {
     if (is_idle() && !m_writing && !m_closing) {
-        close_socket();
+        close_socket(early_end::stopping);
     }
 }
 
-void front_session::abandon() {
+void front_session::abandon(early_end cause) {
     if (m_exchange) {
-        m_exchange->on_caller_disconnected();
+        m_exchange->on_connection_ended(cause);
         m_exchange.reset();
     }
     const auto self = std::move(m_self);
-    close_socket();
+    close_socket(cause);
 }
 
-void front_session::close_socket() {
+void front_session::close_socket(early_end cause) {
     if (m_socket_closed) {
         return;
     }
     m_socket_closed = true;
+    if (!m_answer_complete || m_unsent > 0) {
+        log_early_end(cause);
+        m_state.counters.add(early_end_counter(cause));
+    }
     m_state.timers.unsubscribe(m_timeout);
     boost::system::error_code ignored;
     m_socket.close(ignored);
 }
 
+void front_session::log_early_end(early_end cause) const {
+    const auto now = m_state.timers.now();
+    log_line line("connection ended early");
+    line.add("request", m_request_id)
+        .add("host", m_state.settings.host.value)
+        .add("cause", early_end_name(cause))
+        .add("answer_bytes", m_answer_bytes)
+        .add("unwritten_bytes", m_unsent)
+        .add("answer_complete", m_answer_complete ? "yes" : "no");
+    const auto add_time_since = [&](std::string_view name, const std::optional<time_point>& at) {
+        if (at) {
+            line.add(name, now - *at);
+        }
+    };
+    add_time_since("since_stop_ms", m_state.stop.began());
+    add_time_since("since_reload_ms", m_state.changes.settings_reloaded);
+    add_time_since("since_state_ms", m_state.changes.desired_state);
+    if (cause == early_end::caller_left) {
+        line.info();
+    } else {
+        line.warn();
+    }
+}
+
 }  // namespace verbenahold::serving
--- a/src/serving/front_session.hpp
+++ b/src/serving/front_session.hpp
@@ -23,7 +23,7 @@
 
     void start();
     // Closes the connection and cancels the current request.
-    void abandon();
+    void abandon(early_end cause);
     // Closes the connection if it has no current request and nothing to write.
     void close_if_idle();
     [[nodiscard]] bool is_idle() const { return !m_exchange && !m_reader.has_begun(); }
@@ -32,7 +32,7 @@
     void begin_stream(const http_answer_head& head) override;
     void stream(std::string bytes) override;
     void end_stream() override;
-    void cut_off() override;
+    void cut_off(early_end cause) override;
     [[nodiscard]] std::size_t unsent_bytes() const override { return m_unsent; }
 
 private:
@@ -47,7 +47,9 @@
     void request_ended(bool keep);
     void close_gracefully();
     void end_writing();
-    void close_socket();
+    // Logs and counts `cause` if the last request has no complete answer.
+    void close_socket(early_end cause);
+    void log_early_end(early_end cause) const;
     void start_timeout(duration limit);
     [[nodiscard]] request_bounds bounds() const;
 
@@ -60,6 +62,10 @@
     std::shared_ptr<front_session> m_self;
     std::deque<std::string> m_output;
     std::size_t m_unsent = 0;
+    // Id of the last request, and bytes of its answer so far.
+    std::string m_request_id;
+    std::size_t m_answer_bytes = 0;
+    bool m_answer_complete = true;
     bool m_writing = false;
     bool m_reading = false;
     bool m_closing = false;
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -31,19 +31,31 @@
 // retry would use a whole CPU.
 constexpr duration accept_retry_delay = std::chrono::milliseconds(50);
 constexpr duration housekeeping_period = std::chrono::milliseconds(250);
-// Connections are still accepted for this long after the stop signal, since
-// callers may still use cached directory answers.
-constexpr duration accept_time_while_stopping = std::chrono::milliseconds(3'000);
 // The process exits at least this long before its stop grace ends.
 constexpr duration stop_margin = std::chrono::milliseconds(400);
 constexpr duration stop_check_period = std::chrono::milliseconds(50);
 // Time limit of a call to another daemon.
 constexpr duration peer_call_timeout = std::chrono::milliseconds(800);
 // Counters that are exported as zero before their first event.
-constexpr std::array<std::string_view, 11> counter_names{"requests_received",  "requests_blocked", "requests_answered",
-                                                         "requests_refused",   "requests_failed",  "requests_cut_off",
-                                                         "requests_cancelled", "attempts_failed",  "server_reports",
-                                                         "datagrams_ignored",  "datagrams_unsent"};
+constexpr std::array counter_names{std::string_view("requests_received"),
+                                   std::string_view("requests_blocked"),
+                                   std::string_view("requests_answered"),
+                                   std::string_view("requests_refused"),
+                                   std::string_view("requests_failed"),
+                                   std::string_view("requests_cut_off"),
+                                   std::string_view("requests_cancelled"),
+                                   std::string_view("attempts_failed"),
+                                   std::string_view("server_reports"),
+                                   std::string_view("datagrams_ignored"),
+                                   std::string_view("datagrams_unsent"),
+                                   early_end_counter(early_end::caller_left),
+                                   early_end_counter(early_end::write_failed),
+                                   early_end_counter(early_end::caller_stalled),
+                                   early_end_counter(early_end::stopping),
+                                   early_end_counter(early_end::server_failed),
+                                   early_end_counter(early_end::no_retry_budget),
+                                   early_end_counter(early_end::out_of_time),
+                                   early_end_counter(early_end::internal_fault)};
 constexpr std::string_view changes_path = "/v1/changes";
 // Upper bound of the random delay before a daemon asks a peer for changes.
 constexpr duration max_catch_up_delay = std::chrono::milliseconds(120);
@@ -111,7 +123,7 @@
     m_signals.cancel(ignored);
     for (const auto& weak : m_sessions) {
         if (const auto session = weak.lock()) {
-            session->abandon();
+            session->abandon(early_end::stopping);
         }
     }
     m_peers.close();
@@ -220,6 +232,7 @@
             continue;
         }
         m_state.routes = std::make_shared<const route_table>(std::move(*state));
+        m_state.changes.desired_state = m_state.timers.now();
         log_line("desired state in force")
             .add("version", m_state.routes->state().version)
             .add("before", before)
@@ -398,7 +411,7 @@
 // ---- directory, readiness and metrics ----
 
 bool gateway::is_ready() const {
-    return !m_state.stopping && m_state.routes && m_server_rows.is_loaded();
+    return !m_state.stop.has_begun() && m_state.routes && m_server_rows.is_loaded();
 }
 
 http_answer gateway::answer_ready(const http_request& request) const {
@@ -479,23 +492,24 @@
     }
     m_state.repeats.set_limits(m_state.settings.repeats);
     m_state.pacer.set_bound(m_state.settings.cold);
+    m_state.changes.settings_reloaded = m_state.timers.now();
     log_line("settings reloaded").add("from_next_start", held_back).info();
 }
 
 void gateway::begin_stop() {
-    if (m_stop_began) {
+    if (m_state.stop.has_begun()) {
         return;
     }
-    m_stop_began = m_state.timers.now();
-    m_state.stopping = true;
+    m_state.stop.begin(m_state.timers.now(), m_state.settings.stop_grace);
     log_line("stopping").add("open_requests", m_state.open_requests).info();
     m_presence.leave();
     m_state.timers.every(stop_check_period, [this] { continue_stop(); });
 }
 
 void gateway::continue_stop() {
-    const auto elapsed = m_state.timers.now() - *m_stop_began;
-    if (elapsed < accept_time_while_stopping) {
+    const auto now = m_state.timers.now();
+    const auto elapsed = now - *m_state.stop.began();
+    if (m_state.stop.accepts_requests(now)) {
         return;
     }
     if (m_acceptor.is_open()) {
--- a/src/serving/gateway.hpp
+++ b/src/serving/gateway.hpp
@@ -74,7 +74,6 @@
     std::unique_ptr<service_listener> m_metrics;
     std::unique_ptr<service_listener> m_peer_service;
     std::vector<std::weak_ptr<front_session>> m_sessions;
-    std::optional<time_point> m_stop_began;
     bool m_tables_started = false;
     bool m_fetching_changes = false;
     // When another daemon last reported that it can't reach the store.
--- a/src/serving/gateway_state.hpp
+++ b/src/serving/gateway_state.hpp
@@ -9,6 +9,7 @@
 #include "engine_load.hpp"
 #include "http_client.hpp"
 #include "placer.hpp"
+#include "planned_stop.hpp"
 #include "retry_budget_share.hpp"
 #include "route_table.hpp"
 #include "send_pacer.hpp"
@@ -21,6 +22,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <optional>
 #include <random>
 
 namespace verbenahold::serving {
@@ -48,6 +50,13 @@
     std::function<void(const limit_statement&)> on_limit_changed;
 };
 
+// When this daemon's configuration last changed; empty before any change. Log lines of
+// connections that ended early state the time since then.
+struct change_times {
+    std::optional<time_point> settings_reloaded;
+    std::optional<time_point> desired_state;
+};
+
 struct gateway_state {
     gateway_state(const serving_settings& chosen, const wire_protocol& protocol, boost::asio::io_context& io,
                   std::uint64_t boot_of_daemon)
@@ -98,9 +107,10 @@
     // Identifies this run of the daemon; a new value at each start.
     std::uint64_t boot = 0;
     std::uint64_t last_request = 0;
-    // The daemon is shutting down: it is not ready, and answers close their
+    // From its beginning on, the daemon is not ready and answers close their
     // connections.
-    bool stopping = false;
+    planned_stop stop;
+    change_times changes;
     int open_requests = 0;
 };
 
--- a/src/serving/presence.cpp
+++ b/src/serving/presence.cpp
@@ -71,7 +71,7 @@
 }
 
 void presence::describe(daemon_status& status) const {
-    status.leaving = m_state.stopping;
+    status.leaving = m_state.stop.has_begun();
     status.active = m_state.role.is_active();
     status.shares_work = m_state.role.shares_work(m_state.timers.now());
     status.cores = m_state.settings.cores;
@@ -91,7 +91,7 @@
     const daemon_record own{settings.host.value, settings.peer_address, settings.zone, settings.cores};
     const auto request = m_state.wire.write_row(store_table::daemon_rows, own.name, encode_daemon_record(own));
     m_state.calls.call(settings.store_address, request, store_call_limit, [this](const call_result& result) {
-        if (m_state.stopping || (result.answer && result.answer->head.status == 200)) {
+        if (m_state.stop.has_begun() || (result.answer && result.answer->head.status == 200)) {
             return;
         }
         log_line("own row not written").add("reason", result.failure).warn();
@@ -135,7 +135,7 @@
 
 void presence::on_listing_failed(std::string_view reason) {
     log_line("daemons not listed").add("reason", reason).warn();
-    if (m_listed || m_state.stopping) {
+    if (m_listed || m_state.stop.has_begun()) {
         return;
     }
     m_state.timers.after(m_listing_retry_delay, [this] { list_daemons(); });
@@ -179,7 +179,7 @@
 
 void presence::update_role() {
     const auto chosen_before = m_state.role.chosen_hosts();
-    const bool changed = m_state.role.update(m_requests_per_second, m_state.stopping, m_state.timers.now());
+    const bool changed = m_state.role.update(m_requests_per_second, m_state.stop.has_begun(), m_state.timers.now());
     if (changed) {
         log_line(m_state.role.is_active() ? "active" : "standing by")
             .add("active_daemons", m_state.daemons.senders())
--- a/src/serving/report_poller.cpp
+++ b/src/serving/report_poller.cpp
@@ -35,7 +35,7 @@
 }
 
 void report_poller::poll_due_engines() {
-    if (!m_state.routes || m_state.stopping || !m_state.role.is_active()) {
+    if (!m_state.routes || m_state.stop.has_begun() || !m_state.role.is_active()) {
         return;
     }
     const auto now = m_state.timers.now();
