Keep calls to servers off the connections of callers' requests

A caller got the answer to a reserve order: status 409 and the order's body (MIXED, review case 4).

Cause: orders, reports and requests shared one pool of connections. Answers to calls bear no id, so that a late second answer to a request counted as the answer to an order, and the order's own answer to the next request on that connection.

http_client now keeps a pool of its own; a connection carries either requests or calls. `call_connections_opened` counts its connections, `server_connections_opened` those of requests alone.

The test failed before on all three servers.

The case's workers sent second copies only where an order's answer was due on a connection that had carried a request, which no longer exists, so that the case reported that it could not run. They now send them wherever the next answer on the connection is due, orders' as well, within the same share, and the case also judges the id of each answer. It fails as before on the earlier code.

--- a/review/standins/late_copy_at_order.cpp
+++ b/review/standins/late_copy_at_order.cpp
@@ -1,5 +1,6 @@
-// Workers send a second copy of an answer late, at the point where the answer to an order is
-// expected. Judges whether clients get answers that belong to other requests.
+// Workers send a second copy of an answer late, at the point where the next answer on its
+// channel is expected: that to an order, or to a client's request. Judges whether clients get
+// answers that belong to other requests.
 #include "standins.hpp"
 
 #include <algorithm>
@@ -19,8 +20,10 @@
 constexpr double order_takes_ms = 60;
 constexpr double rejection_takes_ms = 40;
 constexpr double play_ms = 25'000;
-// The share of answers after which a second one may come.
+// The share of answers after which a second one may come, and the part of it for copies that
+// come where the answer to a client's request is due.
 constexpr double largest_share = 0.03;
+constexpr double share_at_requests = 0.015;
 
 constexpr long memory_tokens = 315'000;
 // Memory that requests of other entry hosts use, low and high in turn.
@@ -35,8 +38,8 @@
 std::atomic<int> refused_orders = 0;
 
 std::mutex mutex;
-// The last answer on each channel, with the attempt id that it bears.
-std::map<const channel*, std::pair<std::string, std::string>> last_answer;
+// The last answer on each channel, with the attempt id that it bears or the order's name.
+std::map<std::uint64_t, std::pair<std::string, std::string>> last_answer;
 // Attempt ids that workers answered.
 std::map<std::string, std::string> answered_by;
 // Reservations by worker address and name, in tokens.
@@ -57,19 +60,26 @@
     return value.starts_with('"') ? value.substr(1, value.size() - 2) : value;
 }
 
-bool answer_order(recorder& record, const std::string& id, channel& peer, const message& request) {
-    const auto ticket = value_of(request.body, "id");
-    const bool reserves = value_of(request.body, "operation") == "reserve";
+// Sends the last answer on the channel once more, as long as that is within the share.
+void send_second_copy(recorder& record, const std::string& id, channel& peer, double share) {
     std::pair<std::string, std::string> before;
-    if (reserves) {
+    {
         const std::lock_guard lock(mutex);
-        before = std::exchange(last_answer[&peer], {});
+        before = std::exchange(last_answer[peer.serial()], {});
     }
-    if (with_trouble() && !before.first.empty() && copies + 1 <= largest_share * answers) {
+    if (with_trouble() && !before.first.empty() && copies + 1 <= share * answers) {
         ++copies;
         record.line("second copy from " + id + " of the answer to " + before.first);
         peer.send(before.second);
     }
+}
+
+bool answer_order(recorder& record, const std::string& id, channel& peer, const message& request) {
+    const auto ticket = value_of(request.body, "id");
+    const bool reserves = value_of(request.body, "operation") == "reserve";
+    if (reserves) {
+        send_second_copy(record, id, peer, largest_share);
+    }
     sleep_ms(reserves ? order_takes_ms : 1);
     const std::lock_guard lock(mutex);
     auto& held = tickets[address_of[id]];
@@ -91,7 +101,9 @@
     refused_orders += status == 409 ? 1 : 0;
     record.line("order " + value_of(request.body, "operation") + ' ' + ticket + " answered by " + id + " with " +
                 std::to_string(status));
-    return peer.send(answer_text(status, {{"Content-Type", "application/json"}}, R"({"free-slots":0})"));
+    const auto text = answer_text(status, {{"Content-Type", "application/json"}}, R"({"free-slots":0})");
+    last_answer[peer.serial()] = {"order " + ticket, text};
+    return peer.send(text);
 }
 
 // Whether all tickets that the request names are held. Only these count beyond the
@@ -128,6 +140,7 @@
         return answer_order(record, id, peer, request);
     }
     const auto attempt = request.attempt_id();
+    send_second_copy(record, id, peer, share_at_requests);
     fields head{{"Verbenahold-Attempt-Id", attempt}, {"Verbenahold-Instance-Id", id}};
     int status = 200;
     if (request.field("Verbenahold-Expect-Instance") != id) {
@@ -152,7 +165,7 @@
     ++answers;
     const std::lock_guard lock(mutex);
     answered_by[attempt] = id;
-    last_answer[&peer] = {attempt, text};
+    last_answer[peer.serial()] = {attempt, text};
     record.line("answered " + attempt + " by " + id + " with 200");
     return peer.send(text);
 }
@@ -174,6 +187,11 @@
     }
     record.line("client got " + id + " status " + std::to_string(got.status));
     served += got.status == 200 ? 1 : 0;
+    const auto answered_id = got.answer.attempt_id();
+    if (!answered_id.empty() && answered_id != id) {
+        ++broken;
+        record.line("MIXED: " + id + " got the answer to " + answered_id);
+    }
     // Workers give requests 200, 421 or 503, and the daemon's own failures are 502, 503 and 504.
     if (got.status == 409) {
         const std::lock_guard lock(mutex);
--- a/review/standins/standins.cpp
+++ b/review/standins/standins.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <cstdlib>
 #include <cstring>
 #include <fstream>
@@ -200,6 +201,11 @@
     return start.size() > 1 ? std::atoi(start[1].c_str()) : 0;
 }
 
+channel::channel(int descriptor) : m_descriptor(descriptor) {
+    static std::atomic<std::uint64_t> channels = 0;
+    m_serial = ++channels;
+}
+
 channel::~channel() {
     close();
 }
--- a/review/standins/standins.hpp
+++ b/review/standins/standins.hpp
@@ -61,7 +61,7 @@
 // One end of a TCP connection.
 class channel {
 public:
-    explicit channel(int descriptor) : m_descriptor(descriptor) {}
+    explicit channel(int descriptor);
     ~channel();
     channel(const channel&) = delete;
     channel& operator=(const channel&) = delete;
@@ -81,6 +81,8 @@
     [[nodiscard]] bool malformed() const { return m_malformed; }
     // True if the peer has closed the connection, without waiting.
     [[nodiscard]] bool peer_left() const;
+    // Tells this channel from all others, also closed ones.
+    [[nodiscard]] std::uint64_t serial() const { return m_serial; }
     void close();
 
 private:
@@ -89,6 +91,7 @@
     bool read_chunks(std::size_t position, std::string& body, std::size_t& end, double deadline);
 
     int m_descriptor;
+    std::uint64_t m_serial;
     std::string m_input;
     bool m_ended = false;
     bool m_malformed = false;
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -159,6 +159,7 @@
     m_state.timers.every(settings_check_period, [this] { reload(); });
     m_state.timers.every(housekeeping_period, [this] {
         m_state.pool.expire();
+        m_state.calls.expire();
         m_state.load.drop_expired(m_state.timers.now());
         log_new_blocks();
         std::erase_if(m_sessions, [](const auto& session) { return session.expired(); });
@@ -429,6 +430,7 @@
     m_state.counters.set_gauge("limited_servers", static_cast<double>(m_state.limits.size()));
     m_state.counters.set_gauge("live_daemons", m_state.daemons.senders());
     m_state.counters.set_counter("server_connections_opened", static_cast<std::int64_t>(m_state.pool.opened()));
+    m_state.counters.set_counter("call_connections_opened", static_cast<std::int64_t>(m_state.calls.opened()));
     return {{200, {}, {{"Content-Type", "text/plain; version=0.0.4"}}}, m_state.counters.text().toStdString()};
 }
 
--- a/src/serving/gateway_state.hpp
+++ b/src/serving/gateway_state.hpp
@@ -56,7 +56,7 @@
           loop(io),
           timers(io),
           pool(io, timers),
-          calls(pool, timers),
+          calls(io, timers),
           placing(lateness_policy{}, boot_of_daemon),
           pacer(chosen.cold),
           repeats(chosen.repeats),
@@ -69,6 +69,7 @@
     const wire_protocol& wire;
     boost::asio::io_context& loop;
     loop_timers timers;
+    // Connections to servers for the requests of callers.
     connection_pool pool;
     http_client calls;
     metrics counters;
--- a/src/serving/http_client.hpp
+++ b/src/serving/http_client.hpp
@@ -1,5 +1,6 @@
 // HTTP client for calls with small bodies to the platform's store, backend
-// servers and other daemons, over pooled connections.
+// servers and other daemons. Its connections carry no requests of callers: answers to
+// calls bear no id, so that one of a call and one of a request could not be told apart.
 #pragma once
 
 #include "connection_pool.hpp"
@@ -24,15 +25,19 @@
 public:
     using callback = std::function<void(const call_result&)>;
 
-    http_client(connection_pool& pool, loop_timers& timers) : m_pool(pool), m_timers(timers) {}
+    http_client(boost::asio::io_context& loop, loop_timers& timers) : m_pool(loop, timers), m_timers(timers) {}
 
     // Calls `done` once, with the answer or a failure, within `time_limit`.
     void call(const std::string& address, const http_request& request, duration time_limit, callback done);
     // Closes the connections of all open calls without calling `done`.
     void abandon_all();
+    // Closes connections that have been idle for too long.
+    void expire() { m_pool.expire(); }
+    // Number of connections created so far.
+    [[nodiscard]] std::uint64_t opened() const { return m_pool.opened(); }
 
 private:
-    connection_pool& m_pool;
+    connection_pool m_pool;
     loop_timers& m_timers;
     std::vector<std::weak_ptr<server_connection>> m_open;
 };
