Let callers read an answer for as long as they go on reading it

Callers whose link or program was slow lost the rest of an answer: the idle time limit of their connection began when the answer was made and not when it was written, and closed the connection in the middle of it. The last answer of a connection was cut after ten seconds, however much of it was read. A caller that closed its side after the answer was made lost what was not yet written, and a write that failed left its connection waiting for a read error.

While an answer is written, a connection is now closed only after ten seconds in which the caller read nothing; the idle time begins afterwards. The end of a caller's input lets an answer that is made be written, and a failed write ends the connection.

--- a/src/serving/front_session.cpp
+++ b/src/serving/front_session.cpp
@@ -18,8 +18,8 @@
 constexpr std::size_t max_pipelined_bytes = 64UL * 1024;
 // After a graceful close, how long to wait for the caller to close its side.
 constexpr duration linger = std::chrono::milliseconds(500);
-// How long a caller may take to read the rest of the last answer.
-constexpr duration max_last_write_time = std::chrono::seconds(10);
+// How long a caller may read nothing of an answer that has ended.
+constexpr duration max_write_stall = std::chrono::seconds(10);
 
 // Hop-by-hop fields, and fields that this daemon writes itself.
 bool is_connection_field(std::string_view name) {
@@ -67,11 +67,14 @@
     return {limits.max_header_bytes, limits.max_body_bytes};
 }
 
+caller_limits front_session::limits() const {
+    return m_state.routes ? m_state.routes->state().limits : caller_limits{};
+}
+
 void front_session::start() {
     boost::system::error_code ignored;
     m_socket.set_option(tcp::no_delay(true), ignored);
-    const caller_limits limits = m_state.routes ? m_state.routes->state().limits : caller_limits{};
-    start_timeout(limits.idle_timeout);
+    start_timeout(limits().idle_timeout);
     read();
 }
 
@@ -88,10 +91,31 @@
             self->close_gracefully();
             return;
         }
+        if (self->m_writing) {
+            self->limit_write_stall();
+            return;
+        }
         self->close_socket(early_end::caller_stalled);
     });
 }
 
+void front_session::limit_write_stall() {
+    m_state.timers.unsubscribe(m_timeout);
+    m_timeout = m_state.timers.after(max_write_stall, [weak = weak_from_this(), before = m_unsent] {
+        const auto self = weak.lock();
+        if (!self || self->m_exchange) {
+            return;
+        }
+        if (self->m_unsent == before) {
+            self->close_socket(early_end::caller_stalled);
+        } else if (self->m_writing) {
+            self->limit_write_stall();
+        } else {
+            self->start_timeout(self->limits().idle_timeout);
+        }
+    });
+}
+
 void front_session::read() {
     if (m_reading || m_socket_closed || m_input_ended || m_reader.waiting_bytes() > max_pipelined_bytes) {
         return;
@@ -109,6 +133,13 @@
 void front_session::on_read(const boost::system::error_code& error, std::size_t count) {
     if (error) {
         m_input_ended = true;
+        // A caller may close its side before it has read the whole answer.
+        if (error == boost::asio::error::eof && !m_exchange && m_writing) {
+            if (!m_closing) {
+                close_gracefully();
+            }
+            return;
+        }
         abandon(early_end::caller_left);
         return;
     }
@@ -119,9 +150,8 @@
     if (!m_timing_request) {
         m_timing_request = true;
         m_request_began = m_state.timers.now();
-        const caller_limits limits = m_state.routes ? m_state.routes->state().limits : caller_limits{};
         if (!m_exchange) {
-            start_timeout(limits.header_timeout);
+            start_timeout(limits().header_timeout);
         }
     }
     m_reader.feed({m_chunk.data(), count});
@@ -145,8 +175,7 @@
         case request_reader::progress::incomplete:
             if (m_reader.header_done()) {
                 // The idle timeout also limits the time to receive a body.
-                const caller_limits limits = m_state.routes ? m_state.routes->state().limits : caller_limits{};
-                start_timeout(limits.idle_timeout);
+                start_timeout(limits().idle_timeout);
             }
             break;
     }
@@ -228,8 +257,7 @@
         close_gracefully();
         return;
     }
-    const caller_limits limits = m_state.routes ? m_state.routes->state().limits : caller_limits{};
-    start_timeout(limits.idle_timeout);
+    start_timeout(limits().idle_timeout);
     // The next request may already be buffered. It is started by a timer, since
     // the ending exchange is still on the call stack here.
     m_state.timers.after(duration::zero(), [weak = weak_from_this()] {
@@ -266,32 +294,40 @@
 
 void front_session::write_next() {
     m_writing = true;
-    boost::asio::async_write(m_socket, boost::asio::buffer(m_output.front()),
-                             [self = shared_from_this()](const boost::system::error_code& error, std::size_t count) {
-                                 self->m_writing = false;
-                                 if (self->m_socket_closed || error) {
-                                     return;
-                                 }
-                                 self->m_unsent -= count;
-                                 self->m_output.pop_front();
-                                 if (!self->m_output.empty()) {
-                                     self->write_next();
-                                     return;
-                                 }
-                                 if (self->m_closing) {
-                                     self->end_writing();
-                                 } else if (self->m_exchange) {
-                                     self->m_exchange->on_output_written();
-                                 }
-                             });
+    const auto rest = boost::asio::buffer(m_output.front()) + m_written_of_front;
+    m_socket.async_write_some(rest,
+                              [self = shared_from_this()](const boost::system::error_code& error, std::size_t count) {
+                                  self->m_writing = false;
+                                  if (!self->m_socket_closed) {
+                                      self->on_written(error, count);
+                                  }
+                              });
+}
+
+void front_session::on_written(const boost::system::error_code& error, std::size_t count) {
+    if (error) {
+        abandon(early_end::write_failed);
+        return;
+    }
+    m_unsent -= count;
+    m_written_of_front += count;
+    if (m_written_of_front == m_output.front().size()) {
+        m_output.pop_front();
+        m_written_of_front = 0;
+    }
+    if (!m_output.empty()) {
+        write_next();
+    } else if (m_closing) {
+        end_writing();
+    } else if (m_exchange) {
+        m_exchange->on_output_written();
+    }
 }
 
 void front_session::close_gracefully() {
     m_closing = true;
-    m_state.timers.unsubscribe(m_timeout);
     if (m_writing) {
-        m_timeout = m_state.timers.after(
-            max_last_write_time, [self = shared_from_this()] { self->close_socket(early_end::caller_stalled); });
+        limit_write_stall();
     } else {
         end_writing();
     }
@@ -299,6 +335,10 @@
 }
 
 void front_session::end_writing() {
+    if (m_input_ended) {
+        close_socket(early_end::caller_left);
+        return;
+    }
     boost::system::error_code ignored;
     m_socket.shutdown(tcp::socket::shutdown_send, ignored);
     // Closing a socket with unread input sends a reset, which could discard the
--- a/src/serving/front_session.hpp
+++ b/src/serving/front_session.hpp
@@ -44,6 +44,7 @@
     void reject_malformed();
     void write(std::string bytes);
     void write_next();
+    void on_written(const boost::system::error_code& error, std::size_t count);
     void request_ended(bool keep);
     void close_gracefully();
     void end_writing();
@@ -51,6 +52,9 @@
     void close_socket(early_end cause);
     void log_early_end(early_end cause) const;
     void start_timeout(duration limit);
+    // Closes the connection when its caller reads nothing of an answer for too long.
+    void limit_write_stall();
+    [[nodiscard]] caller_limits limits() const;
     [[nodiscard]] request_bounds bounds() const;
 
     gateway_state& m_state;
@@ -61,6 +65,7 @@
     // Keeps this object alive during a request when no read is pending.
     std::shared_ptr<front_session> m_self;
     std::deque<std::string> m_output;
+    std::size_t m_written_of_front = 0;
     std::size_t m_unsent = 0;
     // Id of the last request, and bytes of its answer so far.
     std::string m_request_id;
--- a/test/rig/serving_rig.cpp
+++ b/test/rig/serving_rig.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/write.hpp>
 
+#include <csignal>
 #include <stdexcept>
 
 #include <unistd.h>
@@ -226,7 +227,8 @@
     settings.peer_address = free_loopback_address(loop);
     settings.metrics_address = free_loopback_address(loop);
     settings.store_address = store_address.empty() ? store.address() : store_address;
-    settings.repeats = {0.2, 100, 10s};
+    settings.repeats = repeats;
+    settings.stop_grace = stop_grace;
     settings.cold = {1.5, 5};
     // Daemons find each other through the store.
     store.put("daemons", name, encode_daemon_record({name, settings.peer_address, settings.zone, settings.cores}));
@@ -276,10 +278,17 @@
     return *m_callers.back();
 }
 
+void serving_rig::stop_daemons() {
+    std::raise(SIGTERM);
+}
+
 void serving_rig::run_step() {
     std::size_t handled = loop.poll();
     for (auto& [name, daemon] : m_daemons) {
         handled += daemon.is_silent ? 0 : daemon.loop->poll();
+        if (daemon.loop->stopped()) {
+            daemon.running.reset();
+        }
     }
     if (handled == 0) {
         loop.run_one_for(1ms);
--- a/test/rig/serving_rig.hpp
+++ b/test/rig/serving_rig.hpp
@@ -121,6 +121,13 @@
 
     // Number of zones that the settings of daemons name; all daemons are in one.
     std::size_t zones = 1;
+    // Settings of daemons that start from now on.
+    retry_limits repeats{0.2, 100, std::chrono::seconds(10)};
+    duration stop_grace = std::chrono::seconds(8);
+    // Sends SIGTERM to this process, which begins a planned stop of all daemons.
+    void stop_daemons();
+    // The daemon's planned stop has ended.
+    [[nodiscard]] bool has_exited(const std::string& name) const { return !m_daemons.at(name).running; }
     // From now on the daemon is silent and its connections hang, as after a loss of
     // power.
     void silence_daemon(const std::string& name) { m_daemons.at(name).is_silent = true; }
@@ -147,7 +154,8 @@
     scripted_store store;
 
 private:
-    // Runs what is due for callers, servers, the store and all daemons.
+    // Runs what is due for callers, servers, the store and all daemons, and destroys
+    // daemons whose loop has stopped, as at the exit of a process.
     void run_step();
 
     struct running_daemon {
