Start a pipelined request that arrived alone when the former one ends

A request that arrived in a segment of its own while the former one ran was parsed and never started until further bytes came; the connection was closed after the idle time limit with the request read and unanswered. start_next_request looked at bytes that were not parsed yet, and this request had none. It asks the reader now whether a request has arrived or begun. Its time limit also counts from its first byte. Neither does a planned stop take such a connection for idle.

--- a/src/serving/front_session.cpp
+++ b/src/serving/front_session.cpp
@@ -271,10 +271,13 @@
     if (m_exchange || m_closing || m_socket_closed) {
         return;
     }
-    if (m_reader.waiting_bytes() > 0) {
-        m_request_began = m_state.timers.now();
-        m_timing_request = true;
-        m_reader.feed({});
+    m_reader.feed({});
+    if (has_unanswered_input()) {
+        if (!m_timing_request) {
+            m_request_began = m_state.timers.now();
+            m_timing_request = true;
+        }
+        start_timeout(limits().header_timeout);
         handle_reader_state();
     }
     read();
--- a/src/serving/front_session.hpp
+++ b/src/serving/front_session.hpp
@@ -26,7 +26,9 @@
     void abandon(early_end cause);
     // Closes the connection if it has no current request and nothing to write.
     void close_if_idle();
-    [[nodiscard]] bool is_idle() const { return !m_exchange && !m_reader.has_begun(); }
+    [[nodiscard]] bool is_idle() const {
+        return !m_exchange && !has_unanswered_input() && m_reader.waiting_bytes() == 0;
+    }
 
     void answer(const http_answer& answer) override;
     void begin_stream(const http_answer_head& head) override;
@@ -54,6 +56,10 @@
     void start_timeout(duration limit);
     // Closes the connection when its caller reads nothing of an answer for too long.
     void limit_write_stall();
+    // A request has begun to arrive after the last one that was started.
+    [[nodiscard]] bool has_unanswered_input() const {
+        return m_reader.has_begun() || m_reader.state() != request_reader::progress::incomplete;
+    }
     [[nodiscard]] caller_limits limits() const;
     [[nodiscard]] request_bounds bounds() const;
 
--- a/test/error/serving_connections.cpp
+++ b/test/error/serving_connections.cpp
@@ -15,8 +15,55 @@
 using boost::asio::ip::tcp;
 using session_pointer = std::shared_ptr<scripted_server::session>;
 
+int answers_in(const std::string& received, const std::string& status) {
+    int count = 0;
+    const auto start = "HTTP/1.1 " + status;
+    for (auto at = received.find(start); at != std::string::npos; at = received.find(start, at + 1)) {
+        ++count;
+    }
+    return count;
+}
+
 }  // namespace
 
+TEST_CASE("a pipelined request that arrives alone starts when the former one ends") {
+    serving_rig rig;
+    std::vector<std::pair<http_request, session_pointer>> open;
+    rig.add_server("i-1", [&](const http_request& request, const session_pointer& session) {
+        open.emplace_back(request, session);
+    });
+    rig.put_desired_state();
+    rig.start_daemon("host-1");
+    REQUIRE(rig.run_until_ready("host-1"));
+    auto& caller = rig.call("host-1", request_text("POST", "/unsafe/x", "a-1", "body"));
+    REQUIRE(rig.run_until([&] { return open.size() == 1; }));
+    caller.send(request_text("POST", "/unsafe/x", "a-2", "body"));
+    rig.run_for(50ms);
+    open[0].second->write(proved_answer(open[0].first, "fine"));
+    REQUIRE(rig.run_until([&] { return open.size() == 2; }));
+    open[1].second->write(proved_answer(open[1].first, "fine"));
+    CHECK(rig.run_until([&] { return answers_in(caller.received(), "200") == 2; }));
+}
+
+TEST_CASE("a malformed pipelined request is answered when the former one ends") {
+    serving_rig rig;
+    std::vector<std::pair<http_request, session_pointer>> open;
+    rig.add_server("i-1", [&](const http_request& request, const session_pointer& session) {
+        open.emplace_back(request, session);
+    });
+    rig.put_desired_state();
+    rig.start_daemon("host-1");
+    REQUIRE(rig.run_until_ready("host-1"));
+    auto& caller = rig.call("host-1", request_text("POST", "/unsafe/x", "a-1", "body"));
+    REQUIRE(rig.run_until([&] { return open.size() == 1; }));
+    caller.send("no request\r\n\r\n");
+    rig.run_for(50ms);
+    open[0].second->write(proved_answer(open[0].first, "fine"));
+    REQUIRE(rig.run_until([&] { return caller.ended(); }));
+    CHECK(answers_in(caller.received(), "200") == 1);
+    CHECK(answers_in(caller.received(), "400") == 1);
+}
+
 TEST_CASE("an answer that its caller reads slowly is not cut off by the time limit for idle connections") {
     serving_rig rig;
     const std::string piece(256UL * 1024, 'x');
