Close connections and answer open requests in a planned stop

Clients whose stream had begun before a stop kept a connection that no answer had called closed. Requests that were still open at the exit got no answer at all, and whole pipelined requests were dropped when the answer before them closed the connection.

Whether the daemon stops is now asked when an answer or a stream ends: the connection closes unless a whole request has already arrived on it. After the time in which connections are accepted, idle connections are closed at each check, and a request is forwarded only if its time limit lies before the end of the stop; others get a 503, which is true, since they were not forwarded. Requests that are still open 0.4 s before the end of the grace get 503 or 502, and the time until the exit, 0.15 s before the end, is for writing.

--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -71,6 +71,10 @@
     }
     const auto allowed = std::min(m_route->timeout, m_request.time_limit.value_or(m_route->timeout));
     m_deadline = m_received_at + allowed;
+    if (!m_state.stop.may_forward(m_state.timers.now(), m_deadline)) {
+        fail(503, "the daemon is stopping", retry_after_rejection);
+        return false;
+    }
     m_last_event = m_request.last_event_id;
     m_traits = traits();
     m_state.repeats.on_request(m_service->name, m_state.timers.now());
@@ -166,6 +170,18 @@
     }
 }
 
+void exchange::on_stop() {
+    const auto self = shared_from_this();
+    constexpr std::string_view reason = "the daemon is stopping";
+    if (m_history.answer_begun) {
+        cut_off(early_end::stopping, reason);
+    } else if (m_history.may_have_run > 0) {
+        fail(502, reason);
+    } else {
+        fail(503, reason, retry_after_rejection);
+    }
+}
+
 void exchange::send_answer(const http_answer& answer) {
     auto* sink = m_sink;
     finish("answered", answer.head.status, "");
--- a/src/serving/exchange.hpp
+++ b/src/serving/exchange.hpp
@@ -76,6 +76,8 @@
     void start();
     // The caller's connection has ended, for this cause.
     void on_connection_ended(early_end cause);
+    // The process exits soon: answers with an error, or cuts off an answer that has begun.
+    void on_stop();
     // Everything sent so far is written to the caller's connection.
     void on_output_written();
 
--- a/src/serving/front_session.cpp
+++ b/src/serving/front_session.cpp
@@ -205,8 +205,18 @@
     running->start();
 }
 
+// From the beginning of a planned stop on, only requests that have arrived whole are
+// taken after the current one.
+bool front_session::closes_after_answer() {
+    if (!m_keep || !m_state.stop.has_begun()) {
+        return !m_keep;
+    }
+    m_reader.feed({});
+    return m_reader.state() != request_reader::progress::complete;
+}
+
 void front_session::answer(const http_answer& answer) {
-    const bool close = !m_keep || m_state.stop.has_begun();
+    const bool close = closes_after_answer();
     m_answer_complete = true;
     write(answer_bytes({{answer.head.status, answer.head.reason, end_to_end_fields(answer.head.fields)}, answer.body},
                        close, m_head_request));
@@ -214,7 +224,7 @@
 }
 
 void front_session::begin_stream(const http_answer_head& head) {
-    m_keep = m_keep && !m_state.stop.has_begun() && !m_unchunked_stream;
+    m_keep = !m_unchunked_stream && !closes_after_answer();
     std::string bytes = "HTTP/1.1 " + std::to_string(head.status) + ' ' + head.reason + "\r\n";
     for (const auto& field : end_to_end_fields(head.fields)) {
         bytes.append(field.name).append(": ").append(field.value).append("\r\n");
@@ -237,7 +247,7 @@
     if (!m_unchunked_stream) {
         write("0\r\n\r\n");
     }
-    request_ended(m_keep);
+    request_ended(!closes_after_answer());
 }
 
 void front_session::cut_off(early_end cause) {
@@ -357,6 +367,13 @@
     }
 }
 
+void front_session::answer_for_stop() {
+    if (m_exchange) {
+        m_exchange->on_stop();
+    }
+    close_if_idle();
+}
+
 void front_session::abandon(early_end cause) {
     if (m_exchange) {
         m_exchange->on_connection_ended(cause);
--- a/src/serving/front_session.hpp
+++ b/src/serving/front_session.hpp
@@ -26,6 +26,8 @@
     void abandon(early_end cause);
     // Closes the connection if it has no current request and nothing to write.
     void close_if_idle();
+    // Answers the current request, since the process exits soon.
+    void answer_for_stop();
     [[nodiscard]] bool is_idle() const {
         return !m_exchange && !has_unanswered_input() && m_reader.waiting_bytes() == 0;
     }
@@ -47,6 +49,7 @@
     void write(std::string bytes);
     void write_next();
     void on_written(const boost::system::error_code& error, std::size_t count);
+    [[nodiscard]] bool closes_after_answer();
     void request_ended(bool keep);
     void close_gracefully();
     void end_writing();
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -31,8 +31,6 @@
 // retry would use a whole CPU.
 constexpr duration accept_retry_delay = std::chrono::milliseconds(50);
 constexpr duration housekeeping_period = std::chrono::milliseconds(250);
-// The process exits at least this long before its stop grace ends.
-constexpr duration stop_margin = std::chrono::milliseconds(400);
 constexpr duration stop_check_period = std::chrono::milliseconds(50);
 // Time limit of a call to another daemon.
 constexpr duration peer_call_timeout = std::chrono::milliseconds(800);
@@ -515,15 +513,15 @@
     if (m_acceptor.is_open()) {
         boost::system::error_code ignored;
         m_acceptor.close(ignored);
-        for (const auto& weak : m_sessions) {
-            if (const auto session = weak.lock()) {
-                session->close_if_idle();
-            }
+    }
+    for (const auto& weak : m_sessions) {
+        if (const auto session = weak.lock()) {
+            m_state.stop.must_answer(now) ? session->answer_for_stop() : session->close_if_idle();
         }
     }
     std::erase_if(m_sessions, [](const auto& session) { return session.expired(); });
     const bool done = m_state.open_requests == 0 && m_sessions.empty();
-    if (done || elapsed > m_state.settings.stop_grace - stop_margin) {
+    if (done || m_state.stop.must_exit(now)) {
         log_line("stopped").add("open_requests", m_state.open_requests).add("after_ms", elapsed).info();
         m_state.loop.stop();
     }
