Give up a silent server only when another attempt can begin

A stream whose server paused for longer than five target gaps was reset, and so was an idempotent request without an answer, before the daemon knew that another server could take it or that the budget for repeats allowed it.

The silence check now chooses the next servers first and charges the budget, and ends the running attempt only if both succeed and no memory has to be reserved, which may fail.

--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -115,6 +115,15 @@
         }
         return;
     }
+    const auto result = choose_servers();
+    if (const auto* none = std::get_if<no_placement>(&result)) {
+        wait_for_server(*none);
+        return;
+    }
+    begin_attempt(std::get<placement>(result));
+}
+
+placement_result exchange::choose_servers() {
     const auto now = m_state.timers.now();
     placement_request wanted;
     wanted.wanted = m_service;
@@ -129,12 +138,7 @@
     const auto may_send = [&](const server_entry& server) {
         return m_state.limits.may_send(server.id, now) && m_state.pacer.may_send(server.id, *m_service, daemons, now);
     };
-    const auto result = m_state.placing.place(wanted, m_state.servers, m_state.load, may_send, now);
-    if (const auto* none = std::get_if<no_placement>(&result)) {
-        wait_for_server(*none);
-        return;
-    }
-    begin_attempt(std::get<placement>(result));
+    return m_state.placing.place(wanted, m_state.servers, m_state.load, may_send, now);
 }
 
 void exchange::wait_for_server(const no_placement& reason) {
--- a/src/serving/exchange.hpp
+++ b/src/serving/exchange.hpp
@@ -61,6 +61,7 @@
     event_splitter events;
     bool streams = false;
     bool prefill_done_announced = false;
+    bool kept_waiting_logged = false;
 };
 
 class exchange : public std::enable_shared_from_this<exchange> {
@@ -87,6 +88,8 @@
     bool admit();
     [[nodiscard]] std::vector<request_trait> traits() const;
     [[nodiscard]] bool crashes_servers() const;
+    // Chooses servers among those that were not tried yet.
+    [[nodiscard]] placement_result choose_servers();
     void place();
     void wait_for_server(const no_placement& reason);
     void begin_attempt(const placement& chosen);
@@ -102,6 +105,9 @@
     void on_complete();
     void on_failure(const call_failure& failure);
     void on_silence_timeout();
+    // The next attempt, charged to the budget for repeats, if nothing prevents it.
+    std::optional<placement> replace_silent_server();
+    void log_kept_waiting(std::string_view reason);
     void on_deadline();
     void restart_silence_timer(duration limit);
 
@@ -114,6 +120,8 @@
     void note_crash();
     // The server that the answer names as faulty, or else the attempt's server.
     [[nodiscard]] server_name server_at_fault() const;
+    // Reports, counts and logs the failed attempt.
+    void note_failed_attempt(const attempt_outcome& outcome, std::string_view reason);
     void handle_outcome(const attempt_outcome& outcome, std::string_view reason);
     void send_answer(const http_answer& answer);
     void fail(int status, std::string_view reason, std::optional<duration> retry_after = std::nullopt);
--- a/src/serving/exchange_attempts.cpp
+++ b/src/serving/exchange_attempts.cpp
@@ -5,6 +5,7 @@
 #include "log_line.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace verbenahold::serving {
 
@@ -447,7 +448,52 @@
             return;
         }
     }
-    handle_outcome(attempt_outcome_unknown{}, "the server is silent");
+    // The server may still answer, so the attempt goes on until another one can begin.
+    const auto next = replace_silent_server();
+    if (!next) {
+        restart_silence_timer(silence_check_period);
+        return;
+    }
+    note_failed_attempt(attempt_outcome_unknown{}, "the server is silent");
+    end_attempt();
+    begin_attempt(*next);
+}
+
+std::optional<placement> exchange::replace_silent_server() {
+    if (crashes_servers()) {
+        log_kept_waiting("servers crash on requests like this one");
+        return std::nullopt;
+    }
+    const auto result = choose_servers();
+    if (const auto* none = std::get_if<no_placement>(&result)) {
+        log_kept_waiting(none->reason);
+        return std::nullopt;
+    }
+    const auto& next = std::get<placement>(result);
+    const auto reserves = [](const prefill_helper& helper) { return helper.reserved_tokens > 0; };
+    if (std::any_of(next.helpers.begin(), next.helpers.end(), reserves)) {
+        log_kept_waiting("memory for the prompt is not certain elsewhere");
+        return std::nullopt;
+    }
+    if (!m_state.repeats.take(m_service->name, m_state.sharing_daemons(), m_state.timers.now())) {
+        log_kept_waiting("the budget for repeats is used up");
+        return std::nullopt;
+    }
+    return next;
+}
+
+void exchange::log_kept_waiting(std::string_view reason) {
+    if (std::exchange(m_attempt->kept_waiting_logged, true)) {
+        return;
+    }
+    m_state.counters.add("silent_servers_kept");
+    log_line("silent server kept")
+        .add("request", m_request.attempt_id)
+        .add("server", m_attempt->server.value)
+        .add("reason", reason)
+        .add("events", m_attempt->events_received)
+        .add("left_ms", time_left())
+        .info();
 }
 
 server_name exchange::server_at_fault() const {
@@ -456,13 +502,9 @@
     return found != nullptr ? found->id : m_attempt->server;
 }
 
-void exchange::handle_outcome(const attempt_outcome& outcome, std::string_view reason) {
+void exchange::note_failed_attempt(const attempt_outcome& outcome, std::string_view reason) {
     const auto now = m_state.timers.now();
     const auto server = m_attempt->server;
-    const auto failure = m_attempt->answer;
-    if (std::holds_alternative<attempt_not_executed>(outcome)) {
-        --m_history.may_have_run;
-    }
     // A server that sends a complete answer is working, even if the answer is
     // an error.
     const bool speaks_against_server = std::holds_alternative<attempt_outcome_unknown>(outcome) ||
@@ -479,23 +521,31 @@
         m_state.notices.on_server_failure(at_fault);
     }
     m_state.counters.add("attempts_failed");
-    const auto decision = decide_next(*m_route, m_history, outcome);
     log_line("attempt failed")
         .add("request", m_request.attempt_id)
         .add("server", server.value)
         .add("at_fault", at_fault.value)
         .add("reason", reason)
-        .add("status", failure.head.status)
+        .add("status", m_attempt->answer.head.status)
         .add("after_ms", now - m_attempt->sent_at)
         .add("events", m_attempt->events_received)
         .add("parts", joined(m_request.shared_parts))
         .add("may_have_run", m_history.may_have_run)
         .add("left_ms", time_left())
         .warn();
+}
+
+void exchange::handle_outcome(const attempt_outcome& outcome, std::string_view reason) {
+    const auto failure = m_attempt->answer;
+    if (std::holds_alternative<attempt_not_executed>(outcome)) {
+        --m_history.may_have_run;
+    }
+    note_failed_attempt(outcome, reason);
+    const auto decision = decide_next(*m_route, m_history, outcome);
     end_attempt();
     if (const auto* elsewhere = std::get_if<try_another_server>(&decision)) {
         const int daemons = m_state.sharing_daemons();
-        if (!elsewhere->is_retry || m_state.repeats.take(m_service->name, daemons, now)) {
+        if (!elsewhere->is_retry || m_state.repeats.take(m_service->name, daemons, m_state.timers.now())) {
             place();
             return;
         }
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -35,25 +35,17 @@
 // Time limit of a call to another daemon.
 constexpr duration peer_call_timeout = std::chrono::milliseconds(800);
 // Counters that are exported as zero before their first event.
-constexpr std::array counter_names{std::string_view("requests_received"),
-                                   std::string_view("requests_blocked"),
-                                   std::string_view("requests_answered"),
-                                   std::string_view("requests_refused"),
-                                   std::string_view("requests_failed"),
-                                   std::string_view("requests_cut_off"),
-                                   std::string_view("requests_cancelled"),
-                                   std::string_view("attempts_failed"),
-                                   std::string_view("server_reports"),
-                                   std::string_view("datagrams_ignored"),
-                                   std::string_view("datagrams_unsent"),
-                                   early_end_counter(early_end::caller_left),
-                                   early_end_counter(early_end::write_failed),
-                                   early_end_counter(early_end::caller_stalled),
-                                   early_end_counter(early_end::stopping),
-                                   early_end_counter(early_end::server_failed),
-                                   early_end_counter(early_end::no_retry_budget),
-                                   early_end_counter(early_end::out_of_time),
-                                   early_end_counter(early_end::internal_fault)};
+constexpr std::array counter_names{
+    std::string_view("requests_received"),        std::string_view("requests_blocked"),
+    std::string_view("requests_answered"),        std::string_view("requests_refused"),
+    std::string_view("requests_failed"),          std::string_view("requests_cut_off"),
+    std::string_view("requests_cancelled"),       std::string_view("attempts_failed"),
+    std::string_view("silent_servers_kept"),      std::string_view("server_reports"),
+    std::string_view("datagrams_ignored"),        std::string_view("datagrams_unsent"),
+    early_end_counter(early_end::caller_left),    early_end_counter(early_end::write_failed),
+    early_end_counter(early_end::caller_stalled), early_end_counter(early_end::stopping),
+    early_end_counter(early_end::server_failed),  early_end_counter(early_end::no_retry_budget),
+    early_end_counter(early_end::out_of_time),    early_end_counter(early_end::internal_fault)};
 constexpr std::string_view changes_path = "/v1/changes";
 // Upper bound of the random delay before a daemon asks a peer for changes.
 constexpr duration max_catch_up_delay = std::chrono::milliseconds(120);
