--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -71,6 +71,10 @@
     }
     const auto allowed = std::min(m_route->timeout, m_request.time_limit.value_or(m_route->timeout));
     m_deadline = m_received_at + allowed;
+    if (!m_state.stop.may_forward(m_state.timers.now(), m_deadline)) {
+        fail(503, "the daemon is stopping", retry_after_rejection);
+        return false;
+    }
     m_last_event = m_request.last_event_id;
     m_traits = traits();
     m_state.repeats.on_request(m_service->name, m_state.timers.now());
@@ -111,6 +115,15 @@
         }
         return;
     }
+    const auto result = choose_servers();
+    if (const auto* none = std::get_if<no_placement>(&result)) {
+        wait_for_server(*none);
+        return;
+    }
+    begin_attempt(std::get<placement>(result));
+}
+
+placement_result exchange::choose_servers() {
     const auto now = m_state.timers.now();
     placement_request wanted;
     wanted.wanted = m_service;
@@ -125,12 +138,7 @@
     const auto may_send = [&](const server_entry& server) {
         return m_state.limits.may_send(server.id, now) && m_state.pacer.may_send(server.id, *m_service, daemons, now);
     };
-    const auto result = m_state.placing.place(wanted, m_state.servers, m_state.load, may_send, now);
-    if (const auto* none = std::get_if<no_placement>(&result)) {
-        wait_for_server(*none);
-        return;
-    }
-    begin_attempt(std::get<placement>(result));
+    return m_state.placing.place(wanted, m_state.servers, m_state.load, may_send, now);
 }
 
 void exchange::wait_for_server(const no_placement& reason) {
@@ -166,6 +174,18 @@
     }
 }
 
+void exchange::on_stop() {
+    const auto self = shared_from_this();
+    constexpr std::string_view reason = "the daemon is stopping";
+    if (m_history.answer_begun) {
+        cut_off(early_end::stopping, reason);
+    } else if (m_history.may_have_run > 0) {
+        fail(502, reason);
+    } else {
+        fail(503, reason, retry_after_rejection);
+    }
+}
+
 void exchange::send_answer(const http_answer& answer) {
     auto* sink = m_sink;
     finish("answered", answer.head.status, "");
--- a/src/serving/front_session.hpp
+++ b/src/serving/front_session.hpp
@@ -26,7 +26,11 @@
     void abandon(early_end cause);
     // Closes the connection if it has no current request and nothing to write.
     void close_if_idle();
-    [[nodiscard]] bool is_idle() const { return !m_exchange && !m_reader.has_begun(); }
+    // Answers the current request, since the process exits soon.
+    void answer_for_stop();
+    [[nodiscard]] bool is_idle() const {
+        return !m_exchange && !has_unanswered_input() && m_reader.waiting_bytes() == 0;
+    }
 
     void answer(const http_answer& answer) override;
     void begin_stream(const http_answer_head& head) override;
@@ -44,6 +48,8 @@
     void reject_malformed();
     void write(std::string bytes);
     void write_next();
+    void on_written(const boost::system::error_code& error, std::size_t count);
+    [[nodiscard]] bool closes_after_answer();
     void request_ended(bool keep);
     void close_gracefully();
     void end_writing();
@@ -51,6 +57,13 @@
     void close_socket(early_end cause);
     void log_early_end(early_end cause) const;
     void start_timeout(duration limit);
+    // Closes the connection when its caller reads nothing of an answer for too long.
+    void limit_write_stall();
+    // A request has begun to arrive after the last one that was started.
+    [[nodiscard]] bool has_unanswered_input() const {
+        return m_reader.has_begun() || m_reader.state() != request_reader::progress::incomplete;
+    }
+    [[nodiscard]] caller_limits limits() const;
     [[nodiscard]] request_bounds bounds() const;
 
     gateway_state& m_state;
@@ -61,6 +74,7 @@
     // Keeps this object alive during a request when no read is pending.
     std::shared_ptr<front_session> m_self;
     std::deque<std::string> m_output;
+    std::size_t m_written_of_front = 0;
     std::size_t m_unsent = 0;
     // Id of the last request, and bytes of its answer so far.
     std::string m_request_id;
