Require keys wherever the desired state speaks of accounts, also if it names none

Cause: whether keys are required followed from whether accounts were left. The platform says that requests carry keys if the desired state contains the list, not if the list has entries.

The desired state now says whether it requires keys: it does if the list is there. Where it is not, none is needed, as before. An empty text among an account's keys, which requests without a key would have matched, admits nobody.

The tests failed before: key-1 was still served after the change, and the empty key found an account.

--- a/src/routing/desired_state.hpp
+++ b/src/routing/desired_state.hpp
@@ -115,6 +115,8 @@
     std::vector<route> routes;
     std::map<service_name, service> services;
     caller_limits limits;
+    // Requests need the API key of an account, also if there are no accounts.
+    bool requires_keys = false;
     std::vector<client_account> accounts;
 };
 
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -27,7 +27,10 @@
     }
     for (const auto& account : m_state.accounts) {
         for (const auto& key : account.api_keys) {
-            m_by_key.emplace(key, &account);
+            // Requests without a key have an empty one.
+            if (!key.empty()) {
+                m_by_key.emplace(key, &account);
+            }
         }
     }
 }
--- a/src/routing/route_table.hpp
+++ b/src/routing/route_table.hpp
@@ -21,7 +21,7 @@
     [[nodiscard]] const route* match(std::string_view host, std::string_view path) const;
     // The account that an API key belongs to; null for an unknown key.
     [[nodiscard]] const client_account* account_of(std::string_view api_key) const;
-    [[nodiscard]] bool requires_keys() const { return !m_state.accounts.empty(); }
+    [[nodiscard]] bool requires_keys() const { return m_state.requires_keys; }
     [[nodiscard]] const service* find_service(const service_name& name) const;
     // The service for a request on the route `wanted`. `draw`, a random number in
     // [0, 1), selects a share of its traffic split.
--- a/test/correctness/core_route_table.cpp
+++ b/test/correctness/core_route_table.cpp
@@ -56,6 +56,12 @@
     CHECK(table.account_of("") == nullptr);
 }
 
+TEST_CASE("an empty key of an account admits no request that has none") {
+    auto state = two_services();
+    state.accounts.front().api_keys.emplace_back();
+    CHECK(route_table(state).account_of("") == nullptr);
+}
+
 TEST_CASE("services of a split get requests by weight, and none with weight zero") {
     auto state = two_services();
     state.routes.front().split = {{service_name("wide"), 3}, {service_name("narrow"), 1}};
--- a/test/correctness/serving_platform_protocol.cpp
+++ b/test/correctness/serving_platform_protocol.cpp
@@ -35,7 +35,7 @@
             "body"};
 }
 
-store_row config_row(const char* text) {
+store_row config_row(const std::string& text) {
     return {"config", text, 9, false};
 }
 
@@ -131,6 +131,15 @@
     CHECK(state->accounts.front().api_keys.size() == 2);
 }
 
+TEST_CASE("keys are required also where the desired state names no account any more") {
+    const auto decode = [](const std::string& more) {
+        return platform::decode_desired_state(config_row(R"({"version":1,"routes":[],"services":[])" + more + "}"));
+    };
+    CHECK(decode(R"(,"tenants":[{"name":"first","api-keys":["k1"]}])")->requires_keys);
+    CHECK(decode(R"(,"tenants":[])")->requires_keys);
+    CHECK_FALSE(decode("")->requires_keys);
+}
+
 TEST_CASE("a desired state with any malformed field is rejected as a whole") {
     CHECK_FALSE(platform::decode_desired_state(config_row("no JSON")));
     CHECK_FALSE(platform::decode_desired_state(config_row(R"({"version":7,"routes":[{"name":1}],"services":[]})")));
--- /dev/null
+++ b/test/error/serving_admission.cpp
@@ -0,0 +1,89 @@
+// Tests which requests are let in: keys, framing and limits on their size. Guards against
+// requests that run without a valid key, requests smuggled inside the body of another, and
+// limits of an older desired state on kept connections.
+#include "serving_rig.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace verbenahold;
+using namespace verbenahold::serving;
+using namespace std::chrono_literals;
+
+namespace {
+
+using session_pointer = std::shared_ptr<scripted_server::session>;
+
+const auto answer_well = [](const http_request& request, const session_pointer& session) {
+    session->write(proved_answer(request, "fine"));
+};
+
+constexpr const char* one_account = R"(,"tenants":[{"name":"first","api-keys":["key-1"]}])";
+constexpr const char* no_accounts = R"(,"tenants":[])";
+
+// A desired state with a route for all requests, and one that needs no key; `more` begins
+// with a comma.
+std::string state_text(int version, const std::string& more) {
+    const std::string common =
+        R"("host":"h.example","kind":"unsafe","timeout-ms":2000,"service":"app","max-attempts":1)";
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[{"name":"all","prefix":"/",)" + common +
+           R"(},{"name":"open","prefix":"/open/","anonymous":true,)" + common +
+           R"(}],"services":[{"name":"app","health-check":"/health","max-connections":10}])" + more + "}";
+}
+
+std::string with_key(const std::string& path, const std::string& key) {
+    auto text = request_text("POST", path, "a-1", "body");
+    const std::string field = "Authorization: Bearer key-1\r\n";
+    return text.replace(text.find(field), field.size(), key.empty() ? "" : "Authorization: Bearer " + key + "\r\n");
+}
+
+class admission_rig : public serving_rig {
+public:
+    explicit admission_rig(const std::string& more) {
+        store.put("op", "config", state_text(1, more));
+        start_daemon("host-1");
+    }
+
+    // The status that the daemon answers on a connection of its own; 0 if it answers nothing.
+    int status_of(const std::string& request) { return last_status(call("host-1", request), 1); }
+
+    // The status of the `count`th answer on a connection.
+    int last_status(const scripted_caller& caller, int count) {
+        std::size_t found = 0;
+        const bool answered = run_until([&] {
+            found = 0;
+            for (int number = 1; number <= count; ++number) {
+                found = caller.received().find("HTTP/1.1 ", found + (number > 1 ? 1 : 0));
+                if (found == std::string::npos) {
+                    return false;
+                }
+            }
+            return caller.received().find("\r\n\r\n", found) != std::string::npos;
+        });
+        return answered ? std::stoi(caller.received().substr(found + 9, 3)) : 0;
+    }
+
+    scripted_server& server = add_server("i-1", answer_well);
+};
+
+}  // namespace
+
+TEST_CASE("no request runs without a valid key after the last account was removed") {
+    admission_rig rig(one_account);
+    REQUIRE(rig.run_until_ready("host-1"));
+    REQUIRE(rig.status_of(with_key("/x", "key-1")) == 200);
+    CHECK(rig.status_of(with_key("/x", "key-nobody-held")) == 401);
+    rig.store.put("op", "config", state_text(2, no_accounts));
+    REQUIRE(rig.run_until([&] { return rig.status_of(with_key("/x", "key-1")) == 401; }));
+    const auto ran = rig.server.requests().size();
+    CHECK(rig.status_of(with_key("/x", "key-nobody-held")) == 401);
+    CHECK(rig.status_of(with_key("/x", "")) == 401);
+    CHECK(rig.server.requests().size() == ran);
+    CHECK(rig.status_of(with_key("/open/x", "")) == 200);
+}
+
+TEST_CASE("requests need no key where the desired state does not speak of accounts") {
+    admission_rig rig("");
+    REQUIRE(rig.run_until_ready("host-1"));
+    CHECK(rig.status_of(with_key("/x", "")) == 200);
+    CHECK(field_value(rig.server.requests().front().fields, "Verbenahold-Tenant").empty());
+}
