Refuse requests whose length is ambiguous

Cause: the framing was left to the parser, which takes such requests to have no body. It also accepts several equal lengths, a list of them, and a length beside such a coding.

request_reader now checks the framing itself once the header is there: one length that is a number, or "chunked" alone in HTTP/1.1, or neither. Anything else gets 400 and the connection closes, before a byte of the body is used.

--- a/src/serving/request_reader.cpp
+++ b/src/serving/request_reader.cpp
@@ -2,6 +2,9 @@
 
 #include <boost/asio/buffer.hpp>
 
+#include <algorithm>
+#include <iterator>
+
 namespace verbenahold::serving {
 
 namespace http = boost::beast::http;
@@ -39,6 +42,12 @@
             m_fault_status = error == http::error::body_limit ? 413 : error == http::error::header_limit ? 431 : 400;
             return;
         }
+        if (const auto fault = m_parser->is_header_done() ? framing_fault() : std::string_view(); !fault.empty()) {
+            m_state = progress::broken;
+            m_fault = fault;
+            m_fault_status = 400;
+            return;
+        }
         if (m_parser->is_done()) {
             m_state = progress::complete;
             m_keep_alive = m_parser->get().keep_alive();
@@ -51,6 +60,30 @@
     }
 }
 
+std::string_view request_reader::framing_fault() const {
+    const auto& message = m_parser->get();
+    const auto lengths = message.count(http::field::content_length);
+    const auto codings = message.equal_range(http::field::transfer_encoding);
+    const auto coding_count = std::distance(codings.first, codings.second);
+    const auto length = message[http::field::content_length];
+    const auto is_digit = [](char letter) { return letter >= '0' && letter <= '9'; };
+    if (lengths > 1 || !std::all_of(length.begin(), length.end(), is_digit)) {
+        return "several lengths, or one that is no number";
+    }
+    if (coding_count == 0) {
+        return {};
+    }
+    if (lengths > 0) {
+        return "a length and a transfer coding";
+    }
+    const auto coding = codings.first->value();
+    const bool chunked = same_field_name({coding.data(), coding.size()}, "chunked");
+    if (coding_count > 1 || !chunked || message.version() < 11) {
+        return "a transfer coding other than chunked";
+    }
+    return {};
+}
+
 http_request request_reader::take_request() {
     auto& message = m_parser->get();
     http_request request;
--- a/src/serving/request_reader.hpp
+++ b/src/serving/request_reader.hpp
@@ -1,6 +1,6 @@
 // Incremental HTTP request parser with strict framing. It rejects requests whose
-// end is ambiguous, such as those with conflicting lengths, to prevent request
-// smuggling.
+// end is ambiguous, to prevent request smuggling: those with several lengths, with a
+// length and a transfer coding, or with any transfer coding but "chunked".
 #pragma once
 
 #include "http_types.hpp"
@@ -55,6 +55,8 @@
 
     void make_parser();
     void parse();
+    // Why the end of a request with this header is ambiguous; empty if it is not.
+    [[nodiscard]] std::string_view framing_fault() const;
 
     request_bounds m_bounds;
     std::optional<parser> m_parser;
--- a/test/correctness/serving_messages.cpp
+++ b/test/correctness/serving_messages.cpp
@@ -49,6 +49,34 @@
     CHECK(state_after("no request\r\n\r\n") == broken);
 }
 
+TEST_CASE("a request with several lengths, both framings or another transfer coding than chunked gets 400") {
+    const auto fields = GENERATE(
+        as<std::string>{},  //
+        "Transfer-Encoding: identity\r\n", "Transfer-Encoding: gzip\r\n", "Transfer-Encoding: chunked, identity\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n", "Transfer-Encoding: chunked, chunked\r\n",
+        "Transfer-Encoding: xchunked\r\n", "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+        "Transfer-Encoding: identity\r\nTransfer-Encoding: chunked\r\n", "Transfer-Encoding:\r\n",
+        "Transfer-Encoding: identity\r\nContent-Length: 3\r\n", "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n", "Content-Length: 3\r\nContent-Length: 3\r\n",
+        "Content-Length: 3, 3\r\n", "Content-Length: +3\r\n", "Content-Length: 0x3\r\n", "Content-Length:\r\n");
+    const std::string smuggled = "GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n";
+    CAPTURE(fields);
+    for (const std::size_t cut : {std::size_t{1}, std::size_t{1'000}}) {
+        request_reader reader({16'384, 4'194'304});
+        const auto bytes = "POST / HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n" + smuggled;
+        for (std::size_t begin = 0; begin < bytes.size(); begin += cut) {
+            reader.feed(std::string_view(bytes).substr(begin, cut));
+        }
+        REQUIRE(reader.state() == request_reader::progress::broken);
+        CHECK(reader.fault_status() == 400);
+    }
+}
+
+TEST_CASE("chunks in a request of HTTP 1.0 are refused") {
+    CHECK(state_after("POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n") ==
+          request_reader::progress::broken);
+}
+
 TEST_CASE("requests over the limits are answered with the status that says so") {
     request_reader header({100, 100});
     header.feed("GET / HTTP/1.1\r\nName: " + std::string(200, 'x') + "\r\n\r\n");
--- a/test/error/serving_admission.cpp
+++ b/test/error/serving_admission.cpp
@@ -87,3 +87,19 @@
     CHECK(rig.status_of(with_key("/x", "")) == 200);
     CHECK(field_value(rig.server.requests().front().fields, "Verbenahold-Tenant").empty());
 }
+
+TEST_CASE("a body behind an ambiguous length is never run as a request of its own") {
+    const auto fields =
+        GENERATE(as<std::string>{}, "Transfer-Encoding: identity\r\n", "Transfer-Encoding: gzip\r\n",
+                 "Transfer-Encoding: chunked, identity\r\n", "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+                 "Content-Length: 0\r\nContent-Length: 0\r\n");
+    CAPTURE(fields);
+    admission_rig rig(one_account);
+    REQUIRE(rig.run_until_ready("host-1"));
+    auto& caller = rig.call("host-1", "POST /open/x HTTP/1.1\r\nHost: h.example\r\nVerbenahold-Attempt-Id: a-1\r\n" +
+                                          fields + "\r\n" + with_key("/open/smuggled", ""));
+    REQUIRE(rig.run_until([&] { return caller.ended(); }));
+    CHECK(caller.received().starts_with("HTTP/1.1 400"));
+    CHECK(caller.received().find("Connection: close") != std::string::npos);
+    CHECK(rig.server.requests().empty());
+}
