Apply a changed limit on requests to the next one on a kept connection

A caller got 413 on a kept connection for a body that the desired state had allowed for seconds (DENIED).

Cause: a request's limits were fixed when the one before it was complete, so that they were as old as the connection had been idle. They are now those at the first byte of the request.

The test failed before: 413 on the kept connection after another one had got 200.

--- a/src/serving/front_session.cpp
+++ b/src/serving/front_session.cpp
@@ -154,6 +154,8 @@
             start_timeout(limits().header_timeout);
         }
     }
+    // A kept connection takes over changed limits with its next request.
+    m_reader.set_bounds(bounds());
     m_reader.feed({m_chunk.data(), count});
     if (!m_exchange) {
         handle_reader_state();
@@ -193,7 +195,6 @@
     m_timing_request = false;
     m_keep = m_reader.keep_alive();
     m_unchunked_stream = m_reader.is_http_1_0();
-    m_reader.set_bounds(bounds());
     auto request = m_state.wire.read_request(m_reader.take_request());
     m_head_request = request.request.method == "HEAD";
     m_request_id = request.attempt_id;
@@ -281,6 +282,7 @@
     if (m_exchange || m_closing || m_socket_closed) {
         return;
     }
+    m_reader.set_bounds(bounds());
     m_reader.feed({});
     if (has_unanswered_input()) {
         if (!m_timing_request) {
--- a/src/serving/request_reader.cpp
+++ b/src/serving/request_reader.cpp
@@ -23,6 +23,14 @@
     m_continue_sent = false;
 }
 
+void request_reader::set_bounds(request_bounds bounds) {
+    const bool changed = bounds != m_bounds;
+    m_bounds = bounds;
+    if (changed && !m_begun && m_state == progress::incomplete) {
+        make_parser();
+    }
+}
+
 void request_reader::feed(std::string_view bytes) {
     m_input.append(bytes);
     if (m_state == progress::incomplete) {
--- a/src/serving/request_reader.hpp
+++ b/src/serving/request_reader.hpp
@@ -17,6 +17,8 @@
 struct request_bounds {
     std::size_t max_header_bytes = 16'384;
     std::size_t max_body_bytes = 4'194'304;
+
+    friend bool operator==(const request_bounds&, const request_bounds&) = default;
 };
 
 class request_reader {
@@ -25,8 +27,8 @@
 
     explicit request_reader(request_bounds bounds);
 
-    // Takes effect with the next request.
-    void set_bounds(request_bounds bounds) { m_bounds = bounds; }
+    // Takes effect with the next request that begins.
+    void set_bounds(request_bounds bounds);
     void feed(std::string_view bytes);
     [[nodiscard]] progress state() const { return m_state; }
 
--- a/test/correctness/serving_messages.cpp
+++ b/test/correctness/serving_messages.cpp
@@ -77,6 +77,23 @@
           request_reader::progress::broken);
 }
 
+TEST_CASE("changed limits hold for the next request on a kept connection and not for one that has begun") {
+    const std::string request = "POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nhello";
+    request_reader reader({1'000, 5});
+    reader.feed(request);
+    REQUIRE(reader.state() == request_reader::progress::complete);
+    reader.take_request();
+    reader.set_bounds({1'000, 4});
+    reader.feed(request);
+    REQUIRE(reader.state() == request_reader::progress::broken);
+    CHECK(reader.fault_status() == 413);
+    request_reader begun({1'000, 5});
+    begun.feed(request.substr(0, 10));
+    begun.set_bounds({1'000, 4});
+    begun.feed(request.substr(10));
+    CHECK(begun.state() == request_reader::progress::complete);
+}
+
 TEST_CASE("requests over the limits are answered with the status that says so") {
     request_reader header({100, 100});
     header.feed("GET / HTTP/1.1\r\nName: " + std::string(200, 'x') + "\r\n\r\n");
--- a/test/error/serving_admission.cpp
+++ b/test/error/serving_admission.cpp
@@ -103,3 +103,17 @@
     CHECK(caller.received().find("Connection: close") != std::string::npos);
     CHECK(rig.server.requests().empty());
 }
+
+TEST_CASE("a raised limit on bodies holds for the next request on a kept connection") {
+    const auto limits = [](int bytes) { return R"(,"limits":{"max-body-bytes":)" + std::to_string(bytes) + "}"; };
+    const auto long_request = request_text("POST", "/open/x", "a-2", std::string(200, 'x'));
+    admission_rig rig(one_account + limits(100));
+    REQUIRE(rig.run_until_ready("host-1"));
+    auto& kept = rig.call("host-1", request_text("POST", "/open/x", "a-1", "short"));
+    REQUIRE(rig.last_status(kept, 1) == 200);
+    REQUIRE(rig.status_of(long_request) == 413);
+    rig.store.put("op", "config", state_text(2, one_account + limits(300)));
+    REQUIRE(rig.run_until([&] { return rig.status_of(long_request) == 200; }));
+    kept.send(long_request);
+    CHECK(rig.last_status(kept, 2) == 200);
+}
