Contain exceptions of the event loop's handlers

Every handler now has an owner that ends its own work. An exchange answers 502, or 503 if the request was not sent, and cuts off an answer that has begun; a caller's connection answers 500 if no request was started; a server's connection counts the answer as broken; a table of the store asks again; a row, a datagram, a signal, a timer or a service connection is left alone. handler_guard logs and counts each exception with its owner. What can't be contained ends the process with the reason logged. The stop's timer starts before the work of the stop that could throw.

The listeners for readiness, directory, metrics and tables wait 50 ms after a failed accept, as the front does.

--- a/src/serving/connection_pool.cpp
+++ b/src/serving/connection_pool.cpp
@@ -27,7 +27,7 @@
         candidate.connection->close();
     }
     ++m_opened;
-    return std::make_shared<server_connection>(m_loop, address);
+    return std::make_shared<server_connection>(m_loop, m_timers.guard(), address);
 }
 
 void connection_pool::put_back(const std::shared_ptr<server_connection>& connection) {
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -38,9 +38,11 @@
 }
 
 void exchange::start() {
-    if (admit()) {
-        place();
-    }
+    contained([this] {
+        if (admit()) {
+            place();
+        }
+    });
 }
 
 bool exchange::admit() {
@@ -78,8 +80,8 @@
     m_last_event = m_request.last_event_id;
     m_traits = traits();
     m_state.repeats.on_request(m_service->name, m_state.timers.now());
-    m_deadline_timer =
-        m_state.timers.after(std::max(duration::zero(), time_left() - deadline_margin), [this] { on_deadline(); });
+    m_deadline_timer = m_state.timers.after(std::max(duration::zero(), time_left() - deadline_margin),
+                                            [this] { contained([this] { on_deadline(); }); });
     return true;
 }
 
@@ -152,7 +154,7 @@
     if (const auto* again = std::get_if<retry_placement>(&decision)) {
         m_wait_timer = m_state.timers.after(again->after, [self = shared_from_this()] {
             if (!self->m_ended) {
-                self->place();
+                self->contained([&] { self->place(); });
             }
         });
     } else if (m_history.may_have_run > 0) {
@@ -175,10 +177,18 @@
 }
 
 void exchange::on_stop() {
-    const auto self = shared_from_this();
-    constexpr std::string_view reason = "the daemon is stopping";
+    contained([this] { give_up_for(early_end::stopping, "the daemon is stopping"); });
+}
+
+void exchange::on_internal_fault() {
+    if (!m_ended) {
+        give_up_for(early_end::internal_fault, "an exception in the daemon");
+    }
+}
+
+void exchange::give_up_for(early_end cause, std::string_view reason) {
     if (m_history.answer_begun) {
-        cut_off(early_end::stopping, reason);
+        cut_off(cause, reason);
     } else if (m_history.may_have_run > 0) {
         fail(502, reason);
     } else {
--- a/src/serving/exchange.hpp
+++ b/src/serving/exchange.hpp
@@ -83,6 +83,16 @@
     void on_output_written();
 
 private:
+    // Runs a callback; an exception ends the exchange with an error.
+    template <class Work>
+    void contained(Work&& work) {
+        const auto self = shared_from_this();
+        m_state.guard.run({"request", m_request.attempt_id}, work, [this] { on_internal_fault(); });
+    }
+    void on_internal_fault();
+    // Ends the exchange before a complete answer of a server: with an error, or by
+    // cutting off an answer that has begun.
+    void give_up_for(early_end cause, std::string_view reason);
     // Matches route, account and service. Returns false if the request was already
     // answered with an error.
     bool admit();
--- a/src/serving/exchange_attempts.cpp
+++ b/src/serving/exchange_attempts.cpp
@@ -99,12 +99,14 @@
         if (!self || !self->m_attempt || self->m_attempt->work.number != number) {
             return;
         }
-        if (reserved) {
-            self->forward();
-            return;
-        }
-        self->end_attempt();
-        self->wait_for_server({"no server has memory for the prompt", retry_after_out_of_memory});
+        self->contained([&] {
+            if (reserved) {
+                self->forward();
+                return;
+            }
+            self->end_attempt();
+            self->wait_for_server({"no server has memory for the prompt", retry_after_out_of_memory});
+        });
     });
 }
 
@@ -153,10 +155,14 @@
     ++m_history.may_have_run;
     answer_callbacks callbacks;
     const auto self = shared_from_this();
-    callbacks.on_head = [self](const http_answer_head& head) { return self->on_head(head); };
-    callbacks.on_body = [self](const std::string& bytes) { self->on_body(bytes); };
-    callbacks.on_complete = [self] { self->on_complete(); };
-    callbacks.on_failure = [self](const call_failure& failure) { self->on_failure(failure); };
+    callbacks.on_head = [self](const http_answer_head& head) {
+        bool is_own = false;
+        self->contained([&] { is_own = self->on_head(head); });
+        return is_own;
+    };
+    callbacks.on_body = [self](const std::string& bytes) { self->contained([&] { self->on_body(bytes); }); };
+    callbacks.on_complete = [self] { self->contained([&] { self->on_complete(); }); };
+    callbacks.on_failure = [self](const call_failure& failure) { self->contained([&] { self->on_failure(failure); }); };
     if (!once) {
         const auto silence = std::max(min_silence, scaled(m_route->latency_target, silence_latency_targets));
         restart_silence_timer(chosen.predicted + silence);
@@ -198,7 +204,7 @@
 
 void exchange::restart_silence_timer(duration limit) {
     m_state.timers.unsubscribe(m_silence_timer);
-    m_silence_timer = m_state.timers.after(limit, [this] { on_silence_timeout(); });
+    m_silence_timer = m_state.timers.after(limit, [this] { contained([this] { on_silence_timeout(); }); });
 }
 
 void exchange::end_attempt() {
--- a/src/serving/front_session.cpp
+++ b/src/serving/front_session.cpp
@@ -78,27 +78,51 @@
     read();
 }
 
+template <class Work>
+void front_session::contained(Work&& work) {
+    const auto self = shared_from_this();
+    m_state.guard.run({"caller connection", m_request_id}, work, [this] { on_internal_fault(); });
+}
+
+void front_session::on_internal_fault() {
+    m_state.guard.run(
+        {"caller connection", m_request_id},
+        [this] {
+            if (m_exchange || m_closing || m_socket_closed) {
+                abandon(early_end::internal_fault);
+                return;
+            }
+            m_keep = false;
+            write(answer_bytes({{500, {}, {}}, {}}, true, false));
+            close_gracefully();
+        },
+        [this] { close_socket(early_end::internal_fault); });
+}
+
 void front_session::start_timeout(duration limit) {
     m_state.timers.unsubscribe(m_timeout);
     m_timeout = m_state.timers.after(limit, [weak = weak_from_this()] {
-        const auto self = weak.lock();
-        if (!self || self->m_exchange) {
-            return;
-        }
-        if (self->m_reader.has_begun()) {
-            self->m_keep = false;
-            self->write(answer_bytes({{408, {}, {}}, {}}, true, false));
-            self->close_gracefully();
-            return;
-        }
-        if (self->m_writing) {
-            self->limit_write_stall();
-            return;
+        if (const auto self = weak.lock()) {
+            self->contained([&] { self->on_timeout(); });
         }
-        self->close_socket(early_end::caller_stalled);
     });
 }
 
+void front_session::on_timeout() {
+    if (m_exchange) {
+        return;
+    }
+    if (m_reader.has_begun()) {
+        m_keep = false;
+        write(answer_bytes({{408, {}, {}}, {}}, true, false));
+        close_gracefully();
+    } else if (m_writing) {
+        limit_write_stall();
+    } else {
+        close_socket(early_end::caller_stalled);
+    }
+}
+
 void front_session::limit_write_stall() {
     m_state.timers.unsubscribe(m_timeout);
     m_timeout = m_state.timers.after(max_write_stall, [weak = weak_from_this(), before = m_unsent] {
@@ -125,7 +149,7 @@
                              [self = shared_from_this()](const boost::system::error_code& error, std::size_t count) {
                                  self->m_reading = false;
                                  if (!self->m_socket_closed) {
-                                     self->on_read(error, count);
+                                     self->contained([&] { self->on_read(error, count); });
                                  }
                              });
 }
@@ -216,14 +240,21 @@
 }
 
 void front_session::answer(const http_answer& answer) {
-    const bool close = closes_after_answer();
-    m_answer_complete = true;
-    write(answer_bytes({{answer.head.status, answer.head.reason, end_to_end_fields(answer.head.fields)}, answer.body},
-                       close, m_head_request));
-    request_ended(!close);
+    contained([&] {
+        const bool close = closes_after_answer();
+        write(
+            answer_bytes({{answer.head.status, answer.head.reason, end_to_end_fields(answer.head.fields)}, answer.body},
+                         close, m_head_request));
+        m_answer_complete = true;
+        request_ended(!close);
+    });
 }
 
 void front_session::begin_stream(const http_answer_head& head) {
+    contained([&] { write_stream_head(head); });
+}
+
+void front_session::write_stream_head(const http_answer_head& head) {
     m_keep = !m_unchunked_stream && !closes_after_answer();
     std::string bytes = "HTTP/1.1 " + std::to_string(head.status) + ' ' + head.reason + "\r\n";
     for (const auto& field : end_to_end_fields(head.fields)) {
@@ -239,15 +270,17 @@
 }
 
 void front_session::stream(std::string bytes) {
-    write(m_unchunked_stream ? std::move(bytes) : chunk_of(bytes));
+    contained([&] { write(m_unchunked_stream ? std::move(bytes) : chunk_of(bytes)); });
 }
 
 void front_session::end_stream() {
-    m_answer_complete = true;
-    if (!m_unchunked_stream) {
-        write("0\r\n\r\n");
-    }
-    request_ended(!closes_after_answer());
+    contained([&] {
+        if (!m_unchunked_stream) {
+            write("0\r\n\r\n");
+        }
+        m_answer_complete = true;
+        request_ended(!closes_after_answer());
+    });
 }
 
 void front_session::cut_off(early_end cause) {
@@ -272,7 +305,7 @@
     // the ending exchange is still on the call stack here.
     m_state.timers.after(duration::zero(), [weak = weak_from_this()] {
         if (const auto session = weak.lock()) {
-            session->start_next_request();
+            session->contained([&] { session->start_next_request(); });
         }
     });
 }
@@ -312,7 +345,7 @@
                               [self = shared_from_this()](const boost::system::error_code& error, std::size_t count) {
                                   self->m_writing = false;
                                   if (!self->m_socket_closed) {
-                                      self->on_written(error, count);
+                                      self->contained([&] { self->on_written(error, count); });
                                   }
                               });
 }
--- a/src/serving/front_session.hpp
+++ b/src/serving/front_session.hpp
@@ -40,6 +40,12 @@
     [[nodiscard]] std::size_t unsent_bytes() const override { return m_unsent; }
 
 private:
+    // Runs a handler; an exception ends the connection, with an answer if the fault came
+    // before a request was started.
+    template <class Work>
+    void contained(Work&& work);
+    void on_internal_fault();
+    void on_timeout();
     void read();
     void on_read(const boost::system::error_code& error, std::size_t count);
     void handle_reader_state();
@@ -47,6 +53,7 @@
     void begin_exchange();
     void reject_malformed();
     void write(std::string bytes);
+    void write_stream_head(const http_answer_head& head);
     void write_next();
     void on_written(const boost::system::error_code& error, std::size_t count);
     [[nodiscard]] bool closes_after_answer();
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -27,25 +27,32 @@
 constexpr duration standby_load_delay = std::chrono::milliseconds(1'200);
 // The settings file is also reloaded without a signal, at this period.
 constexpr duration settings_check_period = std::chrono::seconds(2);
-// Delay after a failed accept: when descriptors or memory run out, an immediate
-// retry would use a whole CPU.
-constexpr duration accept_retry_delay = std::chrono::milliseconds(50);
 constexpr duration housekeeping_period = std::chrono::milliseconds(250);
 constexpr duration stop_check_period = std::chrono::milliseconds(50);
 // Time limit of a call to another daemon.
 constexpr duration peer_call_timeout = std::chrono::milliseconds(800);
 // Counters that are exported as zero before their first event.
-constexpr std::array counter_names{
-    std::string_view("requests_received"),        std::string_view("requests_blocked"),
-    std::string_view("requests_answered"),        std::string_view("requests_refused"),
-    std::string_view("requests_failed"),          std::string_view("requests_cut_off"),
-    std::string_view("requests_cancelled"),       std::string_view("attempts_failed"),
-    std::string_view("silent_servers_kept"),      std::string_view("server_reports"),
-    std::string_view("datagrams_ignored"),        std::string_view("datagrams_unsent"),
-    early_end_counter(early_end::caller_left),    early_end_counter(early_end::write_failed),
-    early_end_counter(early_end::caller_stalled), early_end_counter(early_end::stopping),
-    early_end_counter(early_end::server_failed),  early_end_counter(early_end::no_retry_budget),
-    early_end_counter(early_end::out_of_time),    early_end_counter(early_end::internal_fault)};
+constexpr std::array counter_names{std::string_view("requests_received"),
+                                   std::string_view("requests_blocked"),
+                                   std::string_view("requests_answered"),
+                                   std::string_view("requests_refused"),
+                                   std::string_view("requests_failed"),
+                                   std::string_view("requests_cut_off"),
+                                   std::string_view("requests_cancelled"),
+                                   std::string_view("attempts_failed"),
+                                   std::string_view("handler_exceptions"),
+                                   std::string_view("silent_servers_kept"),
+                                   std::string_view("server_reports"),
+                                   std::string_view("datagrams_ignored"),
+                                   std::string_view("datagrams_unsent"),
+                                   early_end_counter(early_end::caller_left),
+                                   early_end_counter(early_end::write_failed),
+                                   early_end_counter(early_end::caller_stalled),
+                                   early_end_counter(early_end::stopping),
+                                   early_end_counter(early_end::server_failed),
+                                   early_end_counter(early_end::no_retry_budget),
+                                   early_end_counter(early_end::out_of_time),
+                                   early_end_counter(early_end::internal_fault)};
 constexpr std::string_view changes_path = "/v1/changes";
 // Upper bound of the random delay before a daemon asks a peer for changes.
 constexpr duration max_catch_up_delay = std::chrono::milliseconds(120);
@@ -184,9 +191,11 @@
             m_state.timers.after(accept_retry_delay, [this] { accept(); });
             return;
         }
-        const auto session = std::make_shared<front_session>(m_state, std::move(socket));
-        m_sessions.push_back(session);
-        session->start();
+        m_state.guard.run({"caller connection", {}}, [&] {
+            const auto session = std::make_shared<front_session>(m_state, std::move(socket));
+            m_sessions.push_back(session);
+            session->start();
+        });
         accept();
     });
 }
@@ -209,69 +218,76 @@
         m_state.servers.set_evacuated(std::move(evacuated));
     }
     for (const auto& row : changed) {
-        if (row.removed) {
-            continue;
-        }
-        auto state = m_state.wire.read_desired_state(row);
-        if (!state) {
-            continue;
+        if (!row.removed) {
+            m_state.guard.run({"operator row", row.key}, [&] { take_desired_state(row); });
         }
-        const auto before = m_state.routes ? m_state.routes->state().version : 0;
-        if (m_state.routes && state->version <= before) {
-            log_line("ignored older desired state").add("version", state->version).add("current", before).warn();
-            continue;
-        }
-        m_state.routes = std::make_shared<const route_table>(std::move(*state));
-        m_state.changes.desired_state = m_state.timers.now();
-        log_line("desired state in force")
-            .add("version", m_state.routes->state().version)
-            .add("before", before)
-            .add("routes", m_state.routes->state().routes.size())
-            .info();
     }
     m_presence.announce();
 }
 
+void gateway::take_desired_state(const store_row& row) {
+    auto state = m_state.wire.read_desired_state(row);
+    if (!state) {
+        return;
+    }
+    const auto before = m_state.routes ? m_state.routes->state().version : 0;
+    if (m_state.routes && state->version <= before) {
+        log_line("ignored older desired state").add("version", state->version).add("current", before).warn();
+        return;
+    }
+    m_state.routes = std::make_shared<const route_table>(std::move(*state));
+    m_state.changes.desired_state = m_state.timers.now();
+    log_line("desired state in force")
+        .add("version", m_state.routes->state().version)
+        .add("before", before)
+        .add("routes", m_state.routes->state().routes.size())
+        .info();
+}
+
 void gateway::on_server_rows(const std::vector<store_row>& changed) {
-    const auto now = m_state.timers.now();
     auto last_trouble = m_server_rows.last_trouble();
     if (m_peer_store_trouble_at && (!last_trouble || *m_peer_store_trouble_at > *last_trouble)) {
         last_trouble = m_peer_store_trouble_at;
     }
     for (const auto& row : changed) {
-        if (row.removed) {
-            log_line line("server entry gone");
-            line.add("server", row.key).add("version", row.version);
-            if (last_trouble) {
-                line.add("store_trouble_ms_ago", now - *last_trouble);
-            }
-            line.info();
-            m_state.servers.remove(server_name(row.key), last_trouble, now);
-            m_state.pacer.forget(server_name(row.key));
-            m_state.limits.forget(server_name(row.key));
-            continue;
-        }
-        const auto entry = m_state.wire.read_server(row);
-        if (!entry) {
-            log_line("server entry unusable").add("server", row.key).add("version", row.version).warn();
-            m_state.servers.remove(server_name(row.key), std::nullopt, now);
-            continue;
-        }
-        log_line("server entry")
-            .add("server", row.key)
-            .add("phase", entry->phase == server_phase::ready ? "ready" : "draining")
-            .add("address", entry->address)
-            .add("version", row.version)
-            .debug();
-        const auto* before = m_state.servers.find(entry->id, now);
-        if (before != nullptr && before->started_at_unix_ms != entry->started_at_unix_ms) {
-            m_state.limits.forget(entry->id);
-        }
-        m_state.servers.update(*entry, now);
+        m_state.guard.run({"server row", row.key}, [&] { take_server_row(row, last_trouble); });
     }
     m_presence.announce();
 }
 
+void gateway::take_server_row(const store_row& row, const std::optional<time_point>& last_trouble) {
+    const auto now = m_state.timers.now();
+    if (row.removed) {
+        log_line line("server entry gone");
+        line.add("server", row.key).add("version", row.version);
+        if (last_trouble) {
+            line.add("store_trouble_ms_ago", now - *last_trouble);
+        }
+        line.info();
+        m_state.servers.remove(server_name(row.key), last_trouble, now);
+        m_state.pacer.forget(server_name(row.key));
+        m_state.limits.forget(server_name(row.key));
+        return;
+    }
+    const auto entry = m_state.wire.read_server(row);
+    if (!entry) {
+        log_line("server entry unusable").add("server", row.key).add("version", row.version).warn();
+        m_state.servers.remove(server_name(row.key), std::nullopt, now);
+        return;
+    }
+    log_line("server entry")
+        .add("server", row.key)
+        .add("phase", entry->phase == server_phase::ready ? "ready" : "draining")
+        .add("address", entry->address)
+        .add("version", row.version)
+        .debug();
+    const auto* before = m_state.servers.find(entry->id, now);
+    if (before != nullptr && before->started_at_unix_ms != entry->started_at_unix_ms) {
+        m_state.limits.forget(entry->id);
+    }
+    m_state.servers.update(*entry, now);
+}
+
 // ---- other daemons ----
 
 daemon_status gateway::own_status() const {
@@ -453,12 +469,14 @@
         if (error) {
             return;
         }
-        if (signal == SIGHUP) {
-            log_line("reload requested").info();
-            reload();
-        } else {
-            begin_stop();
-        }
+        m_state.guard.run({"signal", {}}, [&] {
+            if (signal == SIGHUP) {
+                log_line("reload requested").info();
+                reload();
+            } else {
+                begin_stop();
+            }
+        });
         wait_for_signals();
     });
 }
@@ -491,9 +509,9 @@
         return;
     }
     m_state.stop.begin(m_state.timers.now(), m_state.settings.stop_grace);
+    m_state.timers.every(stop_check_period, [this] { continue_stop(); });
     log_line("stopping").add("open_requests", m_state.open_requests).info();
     m_presence.leave();
-    m_state.timers.every(stop_check_period, [this] { continue_stop(); });
 }
 
 void gateway::continue_stop() {
--- a/src/serving/gateway.hpp
+++ b/src/serving/gateway.hpp
@@ -40,7 +40,9 @@
                       std::string& fault);
     void accept();
     void on_operator_rows(const table_follower::rows& rows, const std::vector<store_row>& changed);
+    void take_desired_state(const store_row& row);
     void on_server_rows(const std::vector<store_row>& changed);
+    void take_server_row(const store_row& row, const std::optional<time_point>& last_trouble);
     void on_part_decided();
     void on_heartbeat();
     void on_daemon_status(const daemon_status& peer);
--- a/src/serving/gateway_state.hpp
+++ b/src/serving/gateway_state.hpp
@@ -63,7 +63,8 @@
         : settings(chosen),
           wire(protocol),
           loop(io),
-          timers(io),
+          guard(counters),
+          timers(io, guard),
           pool(io, timers),
           calls(pool, timers),
           placing(lateness_policy{}, boot_of_daemon),
@@ -77,10 +78,11 @@
     serving_settings settings;
     const wire_protocol& wire;
     boost::asio::io_context& loop;
+    metrics counters;
+    handler_guard guard;
     loop_timers timers;
     connection_pool pool;
     http_client calls;
-    metrics counters;
 
     // Number of daemons by which this one divides limits that all share.
     [[nodiscard]] int sharing_daemons() { return role.sharing_daemons(daemons.recent_max_senders(timers.now())); }
--- a/src/serving/http_client.cpp
+++ b/src/serving/http_client.cpp
@@ -18,7 +18,7 @@
             return;
         }
         timers.unsubscribe(limit);
-        std::exchange(done, nullptr)(result);
+        timers.guard().run({"call", connection->address()}, [&] { std::exchange(done, nullptr)(result); });
     }
 };
 
--- a/src/serving/loop_timers.cpp
+++ b/src/serving/loop_timers.cpp
@@ -4,7 +4,8 @@
 
 namespace verbenahold::serving {
 
-loop_timers::loop_timers(boost::asio::io_context& loop) : m_start(std::chrono::steady_clock::now()), m_timer(loop) {}
+loop_timers::loop_timers(boost::asio::io_context& loop, handler_guard& guard)
+    : m_start(std::chrono::steady_clock::now()), m_guard(guard), m_timer(loop) {}
 
 time_point loop_timers::now() const {
     return time_point(std::chrono::duration_cast<duration>(std::chrono::steady_clock::now() - m_start));
@@ -37,7 +38,14 @@
             return;
         }
         m_armed_for.reset();
-        m_queue.run_due([this] { return now(); });
+        // The queue has removed or rescheduled a timer before its callback throws, so the
+        // others that are due run in the next round.
+        for (bool done = false; !done;) {
+            m_guard.run({"timer", {}}, [&] {
+                m_queue.run_due([this] { return now(); });
+                done = true;
+            });
+        }
         arm();
     });
 }
--- a/src/serving/loop_timers.hpp
+++ b/src/serving/loop_timers.hpp
@@ -2,6 +2,7 @@
 // periodically or once after a delay.
 #pragma once
 
+#include "handler_guard.hpp"
 #include "timer_queue.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -14,8 +15,11 @@
     using callback = timer_queue::callback;
     using subscription = timer_queue::subscription;
 
-    explicit loop_timers(boost::asio::io_context& loop);
+    // Exceptions of callbacks are left to `guard`.
+    loop_timers(boost::asio::io_context& loop, handler_guard& guard);
 
+    // The guard of all handlers on this loop.
+    [[nodiscard]] handler_guard& guard() { return m_guard; }
     // Monotonic time since this object was constructed.
     [[nodiscard]] time_point now() const;
     // Calls `action` each `period` until unsubscribed.
@@ -30,6 +34,7 @@
     void arm();
 
     std::chrono::steady_clock::time_point m_start;
+    handler_guard& m_guard;
     boost::asio::steady_timer m_timer;
     std::optional<time_point> m_armed_for;
     timer_queue m_queue;
--- a/src/serving/peer_link.cpp
+++ b/src/serving/peer_link.cpp
@@ -180,7 +180,7 @@
                                     // Other errors report that a sent datagram reached a closed
                                     // port.
                                     if (!error) {
-                                        handle_datagram(size);
+                                        m_state.guard.run({"peer datagram", {}}, [&] { handle_datagram(size); });
                                     }
                                     receive();
                                 });
--- a/src/serving/presence.cpp
+++ b/src/serving/presence.cpp
@@ -108,31 +108,37 @@
 void presence::list_daemons(const std::string& first_key) {
     const auto request = m_state.wire.list_rows(store_table::daemon_rows, first_key);
     m_state.calls.call(m_state.settings.store_address, request, store_call_limit, [this](const call_result& result) {
-        if (!result.answer) {
-            on_listing_failed(result.failure);
-            return;
-        }
-        const auto page = m_state.wire.read_page(*result.answer);
-        const auto* listed = std::get_if<store_page>(&page);
-        if (listed == nullptr) {
-            on_listing_failed("status " + std::to_string(result.answer->head.status));
-            return;
-        }
-        for (const auto& row : listed->rows) {
-            if (row.key != m_state.settings.host.value) {
-                m_state.daemons.on_record(decode_daemon_record(row.key, row.value));
-            }
-        }
-        log_line("daemons listed").add("rows", listed->rows.size()).add("version", listed->version).info();
-        if (listed->has_more && !listed->rows.empty()) {
-            // The smallest key that is greater than the last one.
-            list_daemons(listed->rows.back().key + '\0');
-            return;
-        }
-        on_listed();
+        m_state.guard.run(
+            {"table", "daemons"}, [&] { on_listing(result); },
+            [&] { on_listing_failed("the answer can't be handled"); });
     });
 }
 
+void presence::on_listing(const call_result& result) {
+    if (!result.answer) {
+        on_listing_failed(result.failure);
+        return;
+    }
+    const auto page = m_state.wire.read_page(*result.answer);
+    const auto* listed = std::get_if<store_page>(&page);
+    if (listed == nullptr) {
+        on_listing_failed("status " + std::to_string(result.answer->head.status));
+        return;
+    }
+    for (const auto& row : listed->rows) {
+        if (row.key != m_state.settings.host.value) {
+            m_state.daemons.on_record(decode_daemon_record(row.key, row.value));
+        }
+    }
+    log_line("daemons listed").add("rows", listed->rows.size()).add("version", listed->version).info();
+    if (listed->has_more && !listed->rows.empty()) {
+        // The smallest key that is greater than the last one.
+        list_daemons(listed->rows.back().key + '\0');
+        return;
+    }
+    on_listed();
+}
+
 void presence::on_listing_failed(std::string_view reason) {
     log_line("daemons not listed").add("reason", reason).warn();
     if (m_listed || m_state.stop.has_begun()) {
--- a/src/serving/presence.hpp
+++ b/src/serving/presence.hpp
@@ -32,6 +32,7 @@
     void write_own_row();
     // Lists the rows that daemons wrote about themselves, from `first_key` on.
     void list_daemons(const std::string& first_key = {});
+    void on_listing(const call_result& result);
     void on_listing_failed(std::string_view reason);
     void on_listed();
     void list_again_if_active();
--- a/src/serving/server_connection.cpp
+++ b/src/serving/server_connection.cpp
@@ -63,8 +63,13 @@
     return std::visit([](const auto& which) -> std::string_view { return which.reason; }, failure);
 }
 
-server_connection::server_connection(boost::asio::io_context& loop, std::string address)
-    : m_socket(loop), m_address(std::move(address)) {}
+server_connection::server_connection(boost::asio::io_context& loop, handler_guard& guard, std::string address)
+    : m_socket(loop), m_guard(guard), m_address(std::move(address)) {}
+
+template <class Work>
+void server_connection::contained(Work&& work) {
+    m_guard.run({"server connection", m_address}, work, [this] { fail(answer_broken{"the answer can't be handled"}); });
+}
 
 void server_connection::send(std::string request, bool is_head_request, answer_callbacks callbacks) {
     m_callbacks = std::move(callbacks);
@@ -93,10 +98,12 @@
             self->fail(not_connected{error.message()});
             return;
         }
-        self->m_connected = true;
-        self->set_options();
-        self->write();
-        self->read();
+        self->contained([&] {
+            self->m_connected = true;
+            self->set_options();
+            self->write();
+            self->read();
+        });
     });
 }
 
@@ -132,7 +139,7 @@
                              [self = shared_from_this()](const boost::system::error_code& error, std::size_t count) {
                                  self->m_reading = false;
                                  if (!self->m_closed) {
-                                     self->on_read(error, count);
+                                     self->contained([&] { self->on_read(error, count); });
                                  }
                              });
 }
--- a/src/serving/server_connection.hpp
+++ b/src/serving/server_connection.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "answer_parser.hpp"
+#include "handler_guard.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -43,7 +44,7 @@
 
 class server_connection : public std::enable_shared_from_this<server_connection> {
 public:
-    server_connection(boost::asio::io_context& loop, std::string address);
+    server_connection(boost::asio::io_context& loop, handler_guard& guard, std::string address);
 
     // Sends a complete serialized HTTP/1.1 request; connects first if needed.
     void send(std::string request, bool is_head_request, answer_callbacks callbacks);
@@ -66,6 +67,9 @@
     [[nodiscard]] int announced_idle_seconds() const { return m_idle_seconds; }
 
 private:
+    // Runs a handler; an exception counts as a broken answer.
+    template <class Work>
+    void contained(Work&& work);
     void connect();
     void write();
     void read();
@@ -76,6 +80,7 @@
     void set_options();
 
     boost::asio::ip::tcp::socket m_socket;
+    handler_guard& m_guard;
     std::string m_address;
     std::string m_output;
     std::array<char, 16'384> m_chunk{};
--- a/src/serving/service_listener.cpp
+++ b/src/serving/service_listener.cpp
@@ -1,5 +1,6 @@
 #include "service_listener.hpp"
 
+#include "log_line.hpp"
 #include "request_reader.hpp"
 #include "server_connection.hpp"
 
@@ -98,15 +99,25 @@
             boost::asio::buffer(m_chunk),
             [self = shared_from_this()](const boost::system::error_code& error, std::size_t count) {
                 self->m_timers.unsubscribe(self->m_idle);
-                if (error) {
-                    return;
+                if (!error) {
+                    self->contained([&] {
+                        self->m_reader.feed({self->m_chunk.data(), count});
+                        self->answer_next();
+                    });
                 }
-                self->m_reader.feed({self->m_chunk.data(), count});
-                self->answer_next();
             });
     }
 
 private:
+    // Runs a handler; an exception closes the connection.
+    template <class Work>
+    void contained(Work&& work) {
+        m_timers.guard().run({"service connection", {}}, work, [this] {
+            boost::system::error_code ignored;
+            m_socket.close(ignored);
+        });
+    }
+
     void watch_idleness() {
         m_idle = m_timers.after(max_idle, [weak = weak_from_this()] {
             if (const auto self = weak.lock()) {
@@ -136,8 +147,10 @@
             m_socket, boost::asio::buffer(m_output),
             [self = shared_from_this(), close](const boost::system::error_code& error, std::size_t) {
                 if (!error && !close) {
-                    self->m_reader.feed({});
-                    self->answer_next();
+                    self->contained([&] {
+                        self->m_reader.feed({});
+                        self->answer_next();
+                    });
                 }
             });
     }
@@ -169,9 +182,14 @@
         if (error == boost::asio::error::operation_aborted) {
             return;
         }
-        if (!error) {
-            std::make_shared<service_session>(std::move(socket), m_timers, m_handler)->read();
+        if (error) {
+            log_line("service connection not accepted").add("reason", error.message()).warn();
+            m_timers.after(accept_retry_delay, [this] { accept(); });
+            return;
         }
+        m_timers.guard().run({"service connection", {}}, [&] {
+            std::make_shared<service_session>(std::move(socket), m_timers, m_handler)->read();
+        });
         accept();
     });
 }
--- a/src/serving/service_listener.hpp
+++ b/src/serving/service_listener.hpp
@@ -14,6 +14,10 @@
 
 namespace verbenahold::serving {
 
+// Delay after a failed accept: when descriptors or memory run out, an immediate
+// retry would use a whole CPU.
+inline constexpr duration accept_retry_delay = std::chrono::milliseconds(50);
+
 using service_handler = std::function<http_answer(const http_request&)>;
 
 class service_session;
--- a/src/serving/table_follower.cpp
+++ b/src/serving/table_follower.cpp
@@ -69,29 +69,36 @@
     m_calling = true;
     m_calls.call(m_store_address, request, limit, [this, done = std::move(done)](const call_result& result) {
         m_calling = false;
-        if (!result.answer) {
-            on_failure(result.failure);
-            return;
-        }
-        const auto page = m_wire.read_page(*result.answer);
-        if (const auto* fault = std::get_if<store_fault>(&page)) {
-            if (*fault == store_fault::history_gone) {
-                log_line("reloading table").add("table", table_label(m_table)).add("version", m_version).info();
-                load({});
-            } else {
-                on_failure(*fault == store_fault::malformed ? "the answer is malformed" : "the store refused the call");
-            }
-            return;
-        }
-        if (m_failing) {
-            m_failing = false;
-            log_line("store regained").add("table", table_label(m_table)).info();
-        }
-        m_retry_delay = min_store_retry_delay;
-        done(std::get<store_page>(page));
+        // The next call follows also if this answer can't be handled.
+        m_timers.guard().run(
+            {"table", table_label(m_table)}, [&] { on_answer(result, done); },
+            [&] { on_failure("the answer can't be handled"); });
     });
 }
 
+void table_follower::on_answer(const call_result& result, const std::function<void(const store_page&)>& done) {
+    if (!result.answer) {
+        on_failure(result.failure);
+        return;
+    }
+    const auto page = m_wire.read_page(*result.answer);
+    if (const auto* fault = std::get_if<store_fault>(&page)) {
+        if (*fault == store_fault::history_gone) {
+            log_line("reloading table").add("table", table_label(m_table)).add("version", m_version).info();
+            load({});
+        } else {
+            on_failure(*fault == store_fault::malformed ? "the answer is malformed" : "the store refused the call");
+        }
+        return;
+    }
+    if (m_failing) {
+        m_failing = false;
+        log_line("store regained").add("table", table_label(m_table)).info();
+    }
+    m_retry_delay = min_store_retry_delay;
+    done(std::get<store_page>(page));
+}
+
 void table_follower::on_failure(std::string_view reason) {
     m_last_failure = m_timers.now();
     if (!m_failing) {
--- a/src/serving/table_follower.hpp
+++ b/src/serving/table_follower.hpp
@@ -78,6 +78,7 @@
     void schedule_next_poll();
     void on_page(const store_page& page);
     void call(const http_request& request, duration limit, std::function<void(const store_page&)> done);
+    void on_answer(const call_result& result, const std::function<void(const store_page&)>& done);
     void on_failure(std::string_view reason);
     void replace(rows fresh, std::uint64_t version);
     void merge(const std::vector<store_row>& newer, std::uint64_t version);
--- a/test/rig/serving_rig.cpp
+++ b/test/rig/serving_rig.cpp
@@ -232,7 +232,7 @@
     settings.cold = {1.5, 5};
     // Daemons find each other through the store.
     store.put("daemons", name, encode_daemon_record({name, settings.peer_address, settings.zone, settings.cores}));
-    started_daemon.running = std::make_unique<gateway>(*started_daemon.loop, settings, m_protocol, rig_start_us);
+    started_daemon.running = std::make_unique<gateway>(*started_daemon.loop, settings, *protocol, rig_start_us);
     std::string fault;
     if (!started_daemon.running->start(fault)) {
         throw std::runtime_error(fault);
--- a/test/rig/serving_rig.hpp
+++ b/test/rig/serving_rig.hpp
@@ -152,6 +152,8 @@
 
     boost::asio::io_context loop;
     scripted_store store;
+    // Used by daemons that start from now on.
+    std::unique_ptr<wire_protocol> protocol = std::make_unique<platform::platform_protocol>();
 
 private:
     // Runs what is due for callers, servers, the store and all daemons, and destroys
@@ -166,7 +168,6 @@
         std::unique_ptr<gateway> running;
     };
 
-    platform::platform_protocol m_protocol;
     std::map<std::string, running_daemon> m_daemons;
     std::vector<std::unique_ptr<scripted_server>> m_servers;
     std::vector<std::unique_ptr<scripted_caller>> m_callers;
