--- a/src/serving/server_connection.hpp
+++ b/src/serving/server_connection.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "answer_parser.hpp"
+#include "handler_guard.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -51,7 +52,7 @@
 
 class server_connection : public std::enable_shared_from_this<server_connection> {
 public:
-    server_connection(boost::asio::io_context& loop, std::string address);
+    server_connection(boost::asio::io_context& loop, handler_guard& guard, std::string address);
 
     // Sends the request; connects first if needed.
     void send(outgoing_request request, answer_callbacks callbacks);
@@ -76,6 +77,9 @@
     [[nodiscard]] int announced_idle_seconds() const { return m_idle_seconds; }
 
 private:
+    // Runs a handler; an exception counts as a broken answer.
+    template <class Work>
+    void contained(Work&& work);
     void connect();
     void write();
     void read();
@@ -86,6 +90,7 @@
     void set_options();
 
     boost::asio::ip::tcp::socket m_socket;
+    handler_guard& m_guard;
     std::string m_address;
     std::string m_output;
     std::string m_current_request;
