--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -3,11 +3,11 @@
 # outside. Ends with 1 if any run broke a rule. Settings, logs and cases of failing runs stay
 # in the folder.
 #
-#   scripts/soak.sh [--seeds FIRST-LAST] [--hosts N] [--faults a,b,c|all|none] [--folder PATH]
+#   scripts/soak.sh [--seeds FIRST-LAST] [--hosts N] [--faults a,b,c|mix|all|none] [--folder PATH]
 #                   [--daemon PATH] [--build FOLDER] [further options of the program soak]
 set -euo pipefail
 cd "$(dirname "$0")/.."
-seeds=1-50 hosts=9 faults=all build=build folder='' daemon=''
+seeds=1-50 hosts=9 faults=mix build=build folder='' daemon=''
 rest=()
 while [ $# -gt 0 ]; do
   case $1 in
