Apply a changed limit on requests to the next one on a kept connection

A caller got 413 on a kept connection for a body that the desired state had allowed for seconds (DENIED).

Cause: a request's limits were fixed when the one before it was complete, so that they were as old as the connection had been idle. They are now those at the first byte of the request.

--- a/src/serving/front_session.cpp
+++ b/src/serving/front_session.cpp
@@ -178,15 +178,18 @@
             start_timeout(limits().header_timeout);
         }
     }
-    // A kept connection takes over changed limits with its next request.
-    m_reader.set_bounds(bounds());
-    m_reader.feed({m_chunk.data(), count});
+    parse({m_chunk.data(), count});
     if (!m_exchange) {
         handle_reader_state();
     }
     read();
 }
 
+void front_session::parse(std::string_view bytes) {
+    m_reader.set_bounds(bounds());
+    m_reader.feed(bytes);
+}
+
 void front_session::handle_reader_state() {
     if (m_reader.take_expects_continue()) {
         write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -236,7 +239,7 @@
     if (!m_keep || !m_state.stop.has_begun()) {
         return !m_keep;
     }
-    m_reader.feed({});
+    parse({});
     return m_reader.state() != request_reader::progress::complete;
 }
 
@@ -315,8 +318,7 @@
     if (m_exchange || m_closing || m_socket_closed) {
         return;
     }
-    m_reader.set_bounds(bounds());
-    m_reader.feed({});
+    parse({});
     if (has_unanswered_input()) {
         if (!m_timing_request) {
             m_request_began = m_state.timers.now();
--- a/src/serving/front_session.hpp
+++ b/src/serving/front_session.hpp
@@ -48,6 +48,8 @@
     void on_timeout();
     void read();
     void on_read(const boost::system::error_code& error, std::size_t count);
+    // Feeds the reader; a request that begins gets the limits that are now in force.
+    void parse(std::string_view bytes);
     void handle_reader_state();
     void start_next_request();
     void begin_exchange();
