Reserve memory over connections that carried no earlier call

A late second answer to a call can also come where the answer to a reserve order is due, and neither bears an id: the daemon would count memory as reserved that is not, and send a prompt with it.

The order that reserves a part now uses a new connection, whose first answer can only be its own; the connection then serves other calls. Renewals, releases and load reports go on over kept ones, since nothing is sent to a server on the strength of one of their answers.

--- a/src/serving/http_client.cpp
+++ b/src/serving/http_client.cpp
@@ -47,9 +47,11 @@
     }
 }
 
-void http_client::call(const std::string& address, const http_request& request, duration time_limit, callback done) {
+void http_client::call(const std::string& address, const http_request& request, duration time_limit, callback done,
+                       connection_choice choice) {
     const auto open = std::make_shared<open_call>();
-    open->connection = m_pool.take(address, default_max_idle_time);
+    open->connection =
+        choice == connection_choice::fresh ? m_pool.open(address) : m_pool.take(address, default_max_idle_time);
     std::erase_if(m_open, [](const auto& connection) { return connection.expired(); });
     m_open.push_back(open->connection);
     open->done = std::move(done);
--- a/src/serving/http_client.hpp
+++ b/src/serving/http_client.hpp
@@ -21,6 +21,10 @@
 // Content-Length for methods or requests with a body.
 std::string request_bytes(const http_request& request, std::string_view host);
 
+// Which connection a call uses. On a new one, no late answer to an earlier call can be taken
+// for the answer to this one.
+enum class connection_choice { kept, fresh };
+
 class http_client {
 public:
     using callback = std::function<void(const call_result&)>;
@@ -28,7 +32,8 @@
     http_client(boost::asio::io_context& loop, loop_timers& timers) : m_pool(loop, timers), m_timers(timers) {}
 
     // Calls `done` once, with the answer or a failure, within `time_limit`.
-    void call(const std::string& address, const http_request& request, duration time_limit, callback done);
+    void call(const std::string& address, const http_request& request, duration time_limit, callback done,
+              connection_choice choice = connection_choice::kept);
     // Closes the connections of all open calls without calling `done`.
     void abandon_all();
     // Closes connections that have been idle for too long.
--- a/src/serving/reserved_part.cpp
+++ b/src/serving/reserved_part.cpp
@@ -15,11 +15,15 @@
       m_name(std::move(name)) {}
 
 void reserved_part::reserve(duration hold, std::function<void(bool)> done) {
-    m_state.calls.call(m_address, m_state.wire.reserve_memory(m_name, m_tokens, hold), reservation_call_timeout,
-                       [self = shared_from_this(), done = std::move(done)](const call_result& result) {
-                           self->on_reserve_answer(result);
-                           done(result.answer && result.answer->head.status == 200);
-                       });
+    // Requests are sent on the strength of the first answer alone, not of a renewal's.
+    const auto choice = std::exchange(m_ordered, true) ? connection_choice::kept : connection_choice::fresh;
+    m_state.calls.call(
+        m_address, m_state.wire.reserve_memory(m_name, m_tokens, hold), reservation_call_timeout,
+        [self = shared_from_this(), done = std::move(done)](const call_result& result) {
+            self->on_reserve_answer(result);
+            done(result.answer && result.answer->head.status == 200);
+        },
+        choice);
 }
 
 void reserved_part::on_reserve_answer(const call_result& result) {
--- a/src/serving/reserved_part.hpp
+++ b/src/serving/reserved_part.hpp
@@ -47,6 +47,7 @@
     std::string m_name;
     // An unanswered order may be carried out until then.
     time_point m_late_until{};
+    bool m_ordered = false;
     bool m_released = false;
     bool m_release_scheduled = false;
 };
--- a/test/error/serving_server_connections.cpp
+++ b/test/error/serving_server_connections.cpp
@@ -23,6 +23,10 @@
     return request.target.starts_with("/api/");
 }
 
+bool is_reservation(const http_request& request) {
+    return request.body.find(R"("operation":"reserve")") != std::string::npos;
+}
+
 // Model engines that note what each of their connections carries.
 class engine_rig : public serving_rig {
 public:
@@ -95,3 +99,23 @@
     // Connections are still kept for further requests of the same kind.
     CHECK(rig.carried.size() <= 3 * 2 + 2);
 }
+
+TEST_CASE("memory counts as reserved only by an answer on a connection without earlier calls") {
+    constexpr long over_one_servers_memory = 400'000;
+    engine_rig rig;
+    REQUIRE(rig.run_until_ready("host-1"));
+    REQUIRE(rig.run_until([&] { return rig.calls >= 3; }));
+    for (int number = 0; number < 5; ++number) {
+        REQUIRE(rig.is_served(over_one_servers_memory));
+    }
+    int reservations = 0;
+    for (const auto& [session, requests] : rig.carried) {
+        for (std::size_t index = 0; index < requests.size(); ++index) {
+            if (is_reservation(requests[index])) {
+                ++reservations;
+                CHECK(index == 0);
+            }
+        }
+    }
+    CHECK(reservations >= 5);
+}
