End a pause in reading with the answer that caused it

A server's connection on which reading was paused for a slow caller, and whose answer ended with the bytes already read, went back to the pool paused: the next request on it got no answer before its time limit.

The connection now reads on when an answer is complete, which also notices that the server closed it. The test failed before: no second answer within 2 s.

--- a/src/serving/server_connection.cpp
+++ b/src/serving/server_connection.cpp
@@ -216,6 +216,8 @@
     }
     m_reusable = m_parser.keep_alive() && !m_parser.has_surplus() && !m_writing;
     m_busy = false;
+    // A pause holds for one answer.
+    m_paused = false;
     const auto done = std::move(m_callbacks.on_complete);
     m_callbacks = {};
     if (!m_reusable) {
--- a/test/error/serving_server_connections.cpp
+++ b/test/error/serving_server_connections.cpp
@@ -1,5 +1,6 @@
 // Tests which connections to servers are shared and reused. Guards against answers to
-// calls, which bear no id, that are taken for answers to callers' requests or to other calls.
+// calls, which bear no id, that are taken for answers to callers' requests or to other
+// calls, and against kept connections that deliver nothing.
 #include "serving_rig.hpp"
 
 #include <catch2/catch.hpp>
@@ -119,3 +120,33 @@
     }
     CHECK(reservations >= 5);
 }
+
+TEST_CASE("a connection on which an answer's end paused reading delivers the next answer") {
+    boost::asio::io_context loop;
+    scripted_server server(loop, [](const http_request&, const session_pointer& session) {
+        session->write("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine");
+    });
+    const auto connection = std::make_shared<server_connection>(loop, server.address());
+    int answers = 0;
+    const auto ask = [&] {
+        answer_callbacks callbacks;
+        callbacks.on_head = [](const http_answer_head&) { return true; };
+        callbacks.on_body = [&](const std::string&) { connection->pause_reading(true); };
+        callbacks.on_complete = [&] { ++answers; };
+        callbacks.on_failure = [](const call_failure&) {};
+        connection->send({"GET /x HTTP/1.1\r\nHost: h\r\n\r\n", false, "x"}, std::move(callbacks));
+    };
+    const auto run_until_answered = [&](int count) {
+        for (const auto end = std::chrono::steady_clock::now() + 2s;
+             answers < count && std::chrono::steady_clock::now() < end;) {
+            loop.run_one_for(10ms);
+        }
+        return answers == count;
+    };
+    ask();
+    REQUIRE(run_until_answered(1));
+    REQUIRE(connection->is_reusable());
+    ask();
+    CHECK(run_until_answered(2));
+    connection->close();
+}
