--- a/src/serving/exchange.hpp
+++ b/src/serving/exchange.hpp
@@ -121,6 +121,8 @@
     std::optional<placement> replace_silent_server();
     void log_kept_waiting(std::string_view reason);
     void on_deadline();
+    void limit_silence_before_answer();
+    void limit_silence_in_stream();
     void restart_silence_timer(duration limit);
 
     // Takes in what the answer's head says of the server's limit.
