Wait for servers that read a long body late

A request with a long body whose server did not read it for more than a second lost its connection, and the caller got a 502 though the server was sound: the kernel applies TCP_USER_TIMEOUT also while the receiver's window is closed.

Connections that carry a request over 32 KiB have no such limit; the caller's time limit and the check for silent servers end their wait.

--- a/src/serving/server_connection.cpp
+++ b/src/serving/server_connection.cpp
@@ -19,6 +19,11 @@
 // this long. A reachable host acknowledges within milliseconds, and two
 // retransmissions fit in.
 constexpr unsigned unacknowledged_ms = 1'000;
+// The kernel applies that limit also to a server that does not read, once the server's
+// receive buffer is full. Longer requests than this may fill it, so they have no such limit: a
+// sound server may read a body late, and the caller's time limit ends the wait.
+constexpr std::size_t max_bytes_with_limit = 32UL * 1024;
+constexpr unsigned no_limit = 0;
 // TCP keepalive: idle time before the first probe, probe period and count.
 constexpr int keepalive_idle_seconds = 1;
 constexpr int keepalive_period_seconds = 1;
@@ -82,7 +87,12 @@
     m_head_request = request.is_head;
     ++m_requests;
     m_parser.restart(request.is_head);
+    // The limit stays lifted: a kept connection may still hold a body that was not read.
+    const bool lifts_limit = m_output.size() > max_bytes_with_limit && !std::exchange(m_limit_lifted, true);
     if (m_connected) {
+        if (lifts_limit) {
+            set_tcp_option(m_socket, TCP_USER_TIMEOUT, no_limit);
+        }
         write();
     } else {
         connect();
@@ -112,7 +122,7 @@
     boost::system::error_code ignored;
     m_socket.set_option(tcp::no_delay(true), ignored);
     m_socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
-    set_tcp_option(m_socket, TCP_USER_TIMEOUT, unacknowledged_ms);
+    set_tcp_option(m_socket, TCP_USER_TIMEOUT, m_limit_lifted ? no_limit : unacknowledged_ms);
     set_tcp_option(m_socket, TCP_KEEPIDLE, keepalive_idle_seconds);
     set_tcp_option(m_socket, TCP_KEEPINTVL, keepalive_period_seconds);
     set_tcp_option(m_socket, TCP_KEEPCNT, keepalive_probes);
--- a/src/serving/server_connection.hpp
+++ b/src/serving/server_connection.hpp
@@ -104,6 +104,8 @@
     bool m_writing = false;
     bool m_reading = false;
     bool m_paused = false;
+    // Sent bytes may stay unacknowledged for any time.
+    bool m_limit_lifted = false;
     bool m_head_reported = false;
     bool m_skipping = false;
     bool m_reusable = false;
