routing: keep what servers state of themselves in one place, and obey leaving and pauses

Servers that leave say so in their answers (Server-Leaving: 1), and one that turns a request away with 503 may want a pause (Retry-After). Neither was read: a leaving server got requests until its entry changed, and a pausing one got each request that was placed there.

Leaving holds for the run of the server and is told to the other daemons; a pause binds the daemon that was asked. Requests that no server takes while they may wait are refused at once.

--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -1,6 +1,7 @@
 #include "exchange.hpp"
 
 #include "duration_units.hpp"
+#include "lateness_cost.hpp"
 #include "log_line.hpp"
 #include "wait_policy.hpp"
 
@@ -119,7 +120,9 @@
     }
     const auto result = choose_servers();
     if (const auto* none = std::get_if<no_placement>(&result)) {
-        wait_for_server(*none);
+        auto reason = *none;
+        reason.min_retry_delay = std::max(reason.min_retry_delay, time_until_end_of_pause());
+        wait_for_server(reason);
         return;
     }
     begin_attempt(std::get<placement>(result));
@@ -138,11 +141,51 @@
     wanted.excluded = m_tried_servers;
     const int daemons = m_state.sharing_daemons();
     const auto may_send = [&](const server_entry& server) {
-        return m_state.limits.may_send(server.id, now) && m_state.pacer.may_send(server.id, *m_service, daemons, now);
+        return m_state.statements.may_send(server, now) && m_state.pacer.may_send(server.id, *m_service, daemons, now);
     };
     return m_state.placing.place(wanted, m_state.servers, m_state.load, may_send, now);
 }
 
+duration exchange::time_until_end_of_pause() const {
+    if (m_service == nullptr) {
+        return duration::zero();
+    }
+    const auto now = m_state.timers.now();
+    return m_state.statements.time_until_end_of_pause(m_state.servers.usable(m_service->name, now), now);
+}
+
+void exchange::announce_work(work_event event) {
+    const auto now = m_state.timers.now();
+    work_update update;
+    update.id = m_attempt->work;
+    update.event = event;
+    update.lifetime = time_left() + std::chrono::seconds(1);
+    if (event == work_event::started) {
+        const auto& placed = m_attempt->placed;
+        const auto context = m_request.prompt_tokens + m_request.max_output_tokens;
+        std::int64_t reserved = 0;
+        const double weight = m_service->engine ? request_weight(*m_service->engine, m_request.prompt_tokens) : 1;
+        update.items.push_back({m_attempt->server, placed.part_ms, context, true, m_route->event_gap_target,
+                                m_route->latency_target, weight});
+        for (const auto& helper : placed.helpers) {
+            reserved += helper.reserved_tokens;
+            update.items.push_back(
+                {helper.server.id, placed.part_ms, helper.reserved_tokens, false, {}, m_route->latency_target, weight});
+        }
+        update.items.front().context_tokens -= std::min(reserved, context);
+        for (const auto& item : update.items) {
+            m_state.load.add(update.id, item, now, now + update.lifetime);
+        }
+    } else if (event == work_event::read) {
+        m_state.load.on_prefill_done(update.id, now);
+    } else {
+        m_state.load.remove(update.id, now);
+    }
+    if (m_state.notices.on_work) {
+        m_state.notices.on_work(update);
+    }
+}
+
 void exchange::wait_for_server(const no_placement& reason) {
     const auto now = m_state.timers.now();
     if (!m_waiting_since) {
@@ -208,7 +251,8 @@
     if (retry_after) {
         // Random spread, so that callers don't all retry at the same time.
         const double spread = std::uniform_real_distribution<double>(0.8, 1.4)(m_state.random);
-        retry_after = scaled(*retry_after, spread);
+        const double later = std::uniform_real_distribution<double>(1.0, 1.25)(m_state.random);
+        retry_after = std::max(scaled(*retry_after, spread), scaled(time_until_end_of_pause(), later));
     }
     auto* sink = m_sink;
     finish(status == 503 ? "refused" : "failed", status, reason);
--- a/src/serving/exchange.hpp
+++ b/src/serving/exchange.hpp
@@ -104,6 +104,7 @@
     void wait_for_server(const no_placement& reason);
     void begin_attempt(const placement& chosen);
     void reserve_memory();
+    [[nodiscard]] bool may_forward() const;
     void forward();
     // A connection on which the answer to this request can be told from answers to others.
     [[nodiscard]] std::shared_ptr<server_connection> take_connection(const std::string& address);
@@ -125,8 +126,15 @@
     void limit_silence_in_stream();
     void restart_silence_timer(duration limit);
 
-    // Takes in what the answer's head says of the server's limit.
+    // Takes in what the answer's head states of its server.
+    void note_statements();
     void note_stated_limit();
+    void note_pause();
+    void note_leaving();
+    [[nodiscard]] bool is_servers_own_answer() const;
+    // Time until a server of the service may get a request, if all asked for a pause;
+    // otherwise zero.
+    [[nodiscard]] duration time_until_end_of_pause() const;
     // The server has begun to answer, at `began`, and still runs.
     void note_sound(time_point began);
     // The server ended the connection inside the answer. Speaks against the request only
--- a/src/serving/exchange_attempts.cpp
+++ b/src/serving/exchange_attempts.cpp
@@ -1,6 +1,5 @@
 // The part of class exchange that runs attempts at servers, one after the other.
 #include "exchange.hpp"
-#include "lateness_cost.hpp"
 #include "log_line.hpp"
 
 #include <algorithm>
@@ -87,17 +86,29 @@
             return;
         }
         self->contained([&] {
-            if (reserved) {
+            if (reserved && self->may_forward()) {
                 self->forward();
                 return;
             }
             self->end_attempt();
+            if (reserved) {
+                self->place();
+                return;
+            }
             self->wait_for_server(
                 {"no server has memory for the prompt", retry_after_out_of_memory, false, reservation_retry_delay});
         });
     });
 }
 
+// The first server may have stated since it was chosen that it wants no requests.
+bool exchange::may_forward() const {
+    const auto now = m_state.timers.now();
+    const auto* server = m_state.servers.find(m_attempt->server, now);
+    return server == nullptr ||
+           (!m_state.statements.is_leaving(*server) && !m_state.statements.is_pausing(server->id, now));
+}
+
 forwarding exchange::fields_to_add() const {
     forwarding added;
     added.server = m_attempt->server;
@@ -127,7 +138,7 @@
     m_tried_servers.push_back(m_attempt->server);
     m_attempt->sent_at = m_state.timers.now();
     m_state.pacer.on_sent(m_attempt->server, m_attempt->sent_at);
-    m_state.limits.on_sent(m_attempt->server, m_attempt->sent_at);
+    m_state.statements.on_sent(m_attempt->server, m_attempt->sent_at);
     m_attempt->connection = take_connection(chosen.primary.address);
     log_line("forwarded")
         .add("request", m_request.attempt_id)
@@ -171,36 +182,6 @@
     return m_state.pool.take(address, once ? max_idle_time_for_single_runs : default_max_idle_time);
 }
 
-void exchange::announce_work(work_event event) {
-    const auto now = m_state.timers.now();
-    work_update update;
-    update.id = m_attempt->work;
-    update.event = event;
-    update.lifetime = time_left() + std::chrono::seconds(1);
-    if (event == work_event::started) {
-        const auto& placed = m_attempt->placed;
-        const auto context = m_request.prompt_tokens + m_request.max_output_tokens;
-        std::int64_t reserved = 0;
-        const double weight = m_service->engine ? request_weight(*m_service->engine, m_request.prompt_tokens) : 1;
-        update.items.push_back({m_attempt->server, placed.part_ms, context, true, m_route->event_gap_target,
-                                m_route->latency_target, weight});
-        for (const auto& helper : placed.helpers) {
-            reserved += helper.reserved_tokens;
-            update.items.push_back(
-                {helper.server.id, placed.part_ms, helper.reserved_tokens, false, {}, m_route->latency_target, weight});
-        }
-        update.items.front().context_tokens -= std::min(reserved, context);
-        for (const auto& item : update.items) {
-            m_state.load.add(update.id, item, now, now + update.lifetime);
-        }
-    } else if (event == work_event::read) {
-        m_state.load.on_prefill_done(update.id, now);
-    } else {
-        m_state.load.remove(update.id, now);
-    }
-    if (m_state.notices.on_work) {
-        m_state.notices.on_work(update);
-    }
 }
 
 void exchange::end_attempt() {
@@ -249,7 +230,7 @@
     if (decoded.reads_as_not_run && !decoded.not_executed) {
         m_state.counters.add("refusals_unstated");
     }
-    note_stated_limit();
+    note_statements();
     const bool success = head.status >= 200 && head.status < 300;
     m_attempt->streams =
         success && decoded.proved && !decoded.not_executed && m_route->form == answer_form::event_stream;
@@ -407,27 +388,6 @@
     handle_outcome(attempt_outcome_unknown{}, failure_reason(failure));
 }
 
-void exchange::note_stated_limit() {
-    const auto& decoded = m_attempt->decoded;
-    // Without a limit, only an answer that is the server's own says that there is none.
-    if (decoded.wrong_server || (!decoded.requests_per_second && !decoded.proved)) {
-        return;
-    }
-    const auto now = m_state.timers.now();
-    const limit_statement statement{m_attempt->server, decoded.requests_per_second, now};
-    if (!m_state.limits.on_statement(statement, now)) {
-        return;
-    }
-    if (m_state.notices.on_limit_changed) {
-        m_state.notices.on_limit_changed(statement);
-    }
-    log_line("server limit changed")
-        .add("request", m_request.attempt_id)
-        .add("server", m_attempt->server.value)
-        .add("per_second", decoded.requests_per_second ? std::to_string(*decoded.requests_per_second) : "none")
-        .info();
-}
-
 void exchange::note_sound(time_point began) {
     if (m_state.crashes.on_sound_request(m_traits, began, m_state.timers.now()) && m_state.notices.on_sound_request) {
         m_state.notices.on_sound_request(m_traits, began);
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -116,6 +116,7 @@
     m_state.notices.on_sound_request = [this](std::span<const request_trait> traits, time_point began) {
         m_peers.send_sound_request(traits, began);
     };
+    m_state.notices.on_leaving = [this](const leaving_statement& leaving) { m_peers.send_leaving(leaving); };
     m_state.notices.on_limit_changed = [this](const limit_statement& limit) { m_peers.send_limit(limit); };
 }
 
@@ -274,7 +275,7 @@
         line.info();
         m_state.servers.remove(server_name(row.key), last_trouble, now);
         m_state.pacer.forget(server_name(row.key));
-        m_state.limits.forget(server_name(row.key));
+        m_state.statements.on_entry_gone(server_name(row.key), now);
         return;
     }
     const auto entry = m_state.wire.read_server(row);
@@ -289,10 +290,7 @@
         .add("address", entry->address)
         .add("version", row.version)
         .debug();
-    const auto* before = m_state.servers.find(entry->id, now);
-    if (before != nullptr && before->started_at_unix_ms != entry->started_at_unix_ms) {
-        m_state.limits.forget(entry->id);
-    }
+    m_state.statements.on_entry(*entry, now);
     m_state.servers.update(*entry, now);
 }
 
@@ -453,7 +451,10 @@
     m_state.counters.set_gauge("known_servers", static_cast<double>(m_state.servers.size()));
     m_state.counters.set_gauge("blocked_traits",
                                static_cast<double>(m_state.crashes.count_active_blocks(m_state.timers.now())));
-    m_state.counters.set_gauge("limited_servers", static_cast<double>(m_state.limits.size()));
+    m_state.counters.set_gauge("limited_servers", static_cast<double>(m_state.statements.limits().size()));
+    m_state.counters.set_gauge("leaving_servers", static_cast<double>(m_state.statements.count_leaving()));
+    m_state.counters.set_gauge("pausing_servers",
+                               static_cast<double>(m_state.statements.count_pausing(m_state.timers.now())));
     m_state.counters.set_gauge("reservations_held", m_state.reservations_held);
     m_state.counters.set_gauge("reservations_unused", m_state.reservations_unused);
     m_state.counters.set_gauge("live_daemons", m_state.daemons.senders());
--- a/src/serving/gateway_state.hpp
+++ b/src/serving/gateway_state.hpp
@@ -14,8 +14,8 @@
 #include "route_table.hpp"
 #include "send_pacer.hpp"
 #include "server_registry.hpp"
+#include "server_statements.hpp"
 #include "serving_settings.hpp"
-#include "stated_limits.hpp"
 #include "wire_protocol.hpp"
 
 #include "metrics.hpp"
@@ -40,7 +40,8 @@
 };
 
 // Callbacks for what other daemons should learn (on_work, on_server_failure, on_crash,
-// on_sound_request, on_limit_changed) and for the statuses they send. Each may be empty.
+// on_sound_request, on_limit_changed, on_leaving) and for the statuses they send. Each may
+// be empty.
 struct peer_notices {
     std::function<void(const daemon_status&)> on_daemon_status;
     std::function<void(const work_update&)> on_work;
@@ -48,6 +49,7 @@
     std::function<void(const crash_observation&)> on_crash;
     std::function<void(std::span<const request_trait>, time_point began)> on_sound_request;
     std::function<void(const limit_statement&)> on_limit_changed;
+    std::function<void(const leaving_statement&)> on_leaving;
 };
 
 // When this daemon's configuration last changed; empty before any change. Log lines of
@@ -70,7 +72,7 @@
           placing(lateness_policy{}, boot_of_daemon),
           pacer(chosen.cold),
           repeats(chosen.repeats),
-          limits(boot_of_daemon),
+          statements(boot_of_daemon),
           role({chosen.host.value, chosen.peer_address, chosen.zone, chosen.cores}, chosen.zones, daemons),
           random(boot_of_daemon),
           boot(boot_of_daemon) {}
@@ -101,7 +103,7 @@
     placer placing;
     send_pacer pacer;
     retry_budget_share repeats;
-    stated_limits limits;
+    server_statements statements;
     crash_attribution crashes;
     daemon_view daemons;
     active_role role;
--- a/src/serving/peer_link.cpp
+++ b/src/serving/peer_link.cpp
@@ -96,6 +96,11 @@
     message.set_age_ms(milliseconds_of(now - limit.at));
 }
 
+void fill_leaving(wire::LeavingStatement& message, const leaving_statement& leaving, time_point /*now*/) {
+    message.set_server(leaving.server.value);
+    message.set_started_at_unix_ms(leaving.started_at_unix_ms);
+}
+
 // Fills messages from a list, beginning at `first`, as far as the datagram has room.
 // Returns the first item that had none, with which the next datagram should begin.
 template <class Item, class Message>
@@ -213,7 +218,10 @@
     }
     handle_crash_knowledge(datagram, now);
     for (const auto& limit : datagram.limits()) {
-        m_state.limits.on_statement(statement_of(limit, now), now);
+        m_state.statements.limits().on_statement(statement_of(limit, now), now);
+    }
+    for (const auto& leaving : datagram.leaving()) {
+        m_state.statements.on_leaving({server_name(leaving.server()), leaving.started_at_unix_ms()}, now);
     }
 }
 
@@ -258,7 +266,7 @@
         case work_event::started:
             for (const auto& item : update.items()) {
                 if (item.writes()) {
-                    m_state.limits.on_sent(server_name(item.server()), now);
+                    m_state.statements.limits().on_sent(server_name(item.server()), now);
                 }
                 m_state.load.add(id, item_of(item), now, now + std::chrono::milliseconds(update.lifetime_ms()));
             }
@@ -277,7 +285,7 @@
     wire::Datagram datagram;
     fill_status(*datagram.mutable_status(), m_own_status());
     add_crash_knowledge(datagram, now);
-    add_limits(datagram, now);
+    add_statements(datagram, now);
     send(datagram, m_state.role.heartbeat_targets_in_zone(now));
     send(datagram, m_state.role.heartbeat_targets_elsewhere(now));
 }
@@ -290,8 +298,11 @@
     fill_in_turn<crash_observation>(crashes, 0, datagram, *datagram.mutable_crashes(), fill_crash, now);
 }
 
-void peer_link::add_limits(wire::Datagram& datagram, time_point now) {
-    const auto limits = m_state.limits.list_recent(now);
+void peer_link::add_statements(wire::Datagram& datagram, time_point now) {
+    const auto leaving = m_state.statements.list_leaving();
+    m_first_leaving = fill_in_turn<leaving_statement>(leaving, m_first_leaving, datagram, *datagram.mutable_leaving(),
+                                                      fill_leaving, now);
+    const auto limits = m_state.statements.limits().list_recent(now);
     m_first_limit =
         fill_in_turn<limit_statement>(limits, m_first_limit, datagram, *datagram.mutable_limits(), fill_limit, now);
 }
@@ -367,6 +378,11 @@
     schedule_flush();
 }
 
+void peer_link::send_leaving(const leaving_statement& leaving) {
+    fill_leaving(*m_batch->add_leaving(), leaving, m_state.timers.now());
+    schedule_flush();
+}
+
 void peer_link::send_sound_request(std::span<const request_trait> traits, time_point began) {
     auto& message = *m_batch->add_sound_requests();
     message.mutable_traits()->Add(traits.begin(), traits.end());
--- a/src/serving/peer_link.hpp
+++ b/src/serving/peer_link.hpp
@@ -49,6 +49,7 @@
     void send_report(const server_report& report);
     void send_crash(const crash_observation& crash);
     void send_limit(const limit_statement& limit);
+    void send_leaving(const leaving_statement& leaving);
     void send_sound_request(std::span<const request_trait> traits, time_point began);
 
 private:
@@ -59,8 +60,8 @@
     // Adds the known blocks and recent crashes, as far as the datagram has room. Daemons
     // that start or missed a datagram learn them from the heartbeats of any other.
     void add_crash_knowledge(wire::Datagram& datagram, time_point now);
-    // The same for the limits that servers stated.
-    void add_limits(wire::Datagram& datagram, time_point now);
+    // The same for what servers stated of themselves.
+    void add_statements(wire::Datagram& datagram, time_point now);
     void apply_work_update(std::uint64_t boot, const wire::WorkUpdate& update);
     // Sends the batched updates at once if they fill half a datagram, else after
     // the batching delay.
@@ -83,9 +84,10 @@
     std::unique_ptr<wire::Datagram> m_batch;
     std::string m_own_address;
     bool m_flush_scheduled = false;
-    // Where the next heartbeat begins in the lists of blocks and of limits, if not all
-    // have room.
+    // Where the next heartbeat begins in the lists of blocks and of statements, if not
+    // all have room.
     std::size_t m_first_block = 0;
+    std::size_t m_first_leaving = 0;
     std::size_t m_first_limit = 0;
 };
 
--- a/src/serving/presence.cpp
+++ b/src/serving/presence.cpp
@@ -169,7 +169,7 @@
     measure_requests();
     ++m_heartbeats;
     const auto now = m_state.timers.now();
-    m_state.limits.set_share(m_state.heard_share());
+    m_state.statements.limits().set_share(m_state.heard_share());
     if (m_state.role.shares_work(now) || m_heartbeats % standby_heartbeat_interval == 0) {
         m_peers.send_status();
     }
--- a/src/serving/report_poller.cpp
+++ b/src/serving/report_poller.cpp
@@ -45,7 +45,7 @@
         }
         for (const server_entry* server : m_state.servers.usable_or_ejected(name, now)) {
             auto& polled = m_polled_servers[server->id];
-            if (polled.next_poll > now ||
+            if (polled.next_poll > now || m_state.statements.is_pausing(server->id, now) ||
                 !m_state.daemons.is_responsible(m_state.settings.host.value, server->id.value, now)) {
                 continue;
             }
@@ -65,7 +65,7 @@
     if (result.answer) {
         // A report without a limit doesn't say that there is none.
         if (const auto limit = m_state.wire.read_answer(result.answer->head).requests_per_second) {
-            m_state.limits.on_statement({server, limit, m_state.timers.now()}, m_state.timers.now());
+            m_state.statements.limits().on_statement({server, limit, m_state.timers.now()}, m_state.timers.now());
         }
     }
     auto& polled = m_polled_servers[server];
--- a/src/serving/wire_protocol.hpp
+++ b/src/serving/wire_protocol.hpp
@@ -67,6 +67,13 @@
     // Requests per second that the server takes from all daemons together; empty if
     // it states no limit.
     std::optional<double> requests_per_second;
+    // The server states that it leaves.
+    bool leaving = false;
+    // How long the server, which turns the request away, wants no other one from this
+    // daemon; empty if not stated.
+    std::optional<duration> pause;
+    // One of these statements can't be read and is ignored.
+    bool has_unreadable_statement = false;
 };
 
 // A caller's request to the directory for addresses to connect to.
--- a/test/correctness/core_serving_wait_policy.cpp
+++ b/test/correctness/core_serving_wait_policy.cpp
@@ -58,3 +58,12 @@
         CHECK(std::get<retry_placement>(decision).after == 200ms);
     }
 }
+
+TEST_CASE("a request that no server takes while it may wait is refused at once") {
+    const auto matched = long_route();
+    const no_placement paused{"every server pauses", 300ms, false, 2s};
+    const auto decision = decide_wait({&matched, 0ms, 10s, false, true}, paused);
+    REQUIRE(std::holds_alternative<refuse_request>(decision));
+    CHECK(std::get<refuse_request>(decision).retry_after == 2s);
+    CHECK_FALSE(refuses({&matched, 0ms, 10s, true, true}, paused));
+}
--- a/test/correctness/serving_platform_protocol.cpp
+++ b/test/correctness/serving_platform_protocol.cpp
@@ -101,6 +101,39 @@
     }
 }
 
+TEST_CASE("a pause is read from a rejection, and one that is no amount of seconds is ignored") {
+    const auto answer_with = [](int status, const std::string& value) {
+        return platform::decode_answer({status, {}, {{"Retry-After", value}}});
+    };
+    CHECK(answer_with(503, "2").pause == 2s);
+    CHECK(answer_with(503, " 0.25 ").pause == 250ms);
+    CHECK(answer_with(503, "1e300").pause == 24h);
+    CHECK_FALSE(answer_with(503, "").has_unreadable_statement);
+    CHECK_FALSE(answer_with(200, "2").pause);
+    CHECK_FALSE(answer_with(429, "2").pause);
+    for (const char* value : {"-1", "nan", "inf", "soon", "2 s", "1e999", "Fri, 31 Dec 1999 23:59:59 GMT"}) {
+        CAPTURE(value);
+        CHECK_FALSE(answer_with(503, value).pause);
+        CHECK(answer_with(503, value).has_unreadable_statement);
+    }
+    const header_fields twice{{"Retry-After", "2"}, {"Retry-After", "9"}};
+    CHECK(platform::decode_answer({503, {}, twice}).pause == 2s);
+}
+
+TEST_CASE("a server leaves only if it says so plainly") {
+    const auto answer_with = [](const std::string& value) {
+        return platform::decode_answer({200, {}, {{"Server-Leaving", value}}});
+    };
+    CHECK(answer_with("1").leaving);
+    CHECK(answer_with(" 1").leaving);
+    CHECK_FALSE(platform::decode_answer({200, {}, {}}).leaving);
+    for (const char* value : {"0", "true", "11", "-1", "1, 1"}) {
+        CAPTURE(value);
+        CHECK_FALSE(answer_with(value).leaving);
+        CHECK(answer_with(value).has_unreadable_statement);
+    }
+}
+
 TEST_CASE("a desired state is decoded into retry rules, time limits and engine figures") {
     const auto state = platform::decode_desired_state(config_row(R"({"version":7,
         "routes":[
