serving: take a server's leaving from reports that name its run

A server that gets no requests, or only long ones, told that it leaves in its reports alone, and daemons went on placing requests there until an answer said so. A report bears no request's id, and the address may be another server's by now, so that it could not count.

Reports state the start time of the run that makes them. Where it is that of the listed run the report is the server's own.

The test of leaving also runs with nine daemons. A refusal because all servers pause says so in its reason.

--- a/src/routing/server_report.hpp
+++ b/src/routing/server_report.hpp
@@ -16,6 +16,8 @@
     std::int64_t held_tokens = 0;
     // Execution time relative to the configured cost model; 2 means half speed.
     double slowdown = 1;
+    // Start time of the run that reports, in Unix milliseconds; 0 if unknown.
+    std::int64_t started_at_unix_ms = 0;
 };
 
 // Upper limit for a reported value: a larger one would keep all requests off the
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -121,7 +121,10 @@
     const auto result = choose_servers();
     if (const auto* none = std::get_if<no_placement>(&result)) {
         auto reason = *none;
-        reason.min_retry_delay = std::max(reason.min_retry_delay, time_until_end_of_pause());
+        if (const auto pause = time_until_end_of_pause(); pause > duration::zero()) {
+            reason.reason = "every server of the service wants a pause";
+            reason.min_retry_delay = std::max(reason.min_retry_delay, pause);
+        }
         wait_for_server(reason);
         return;
     }
--- a/src/serving/peer_link.cpp
+++ b/src/serving/peer_link.cpp
@@ -213,7 +213,7 @@
     }
     for (const auto& report : datagram.reports()) {
         m_state.load.on_report({server_name(report.server()), static_cast<int>(report.requests()),
-                                static_cast<std::int64_t>(report.held_tokens()), report.pace()},
+                                static_cast<std::int64_t>(report.held_tokens()), report.pace(), 0},
                                now);
     }
     handle_crash_knowledge(datagram, now);
--- a/src/serving/report_poller.cpp
+++ b/src/serving/report_poller.cpp
@@ -71,6 +71,9 @@
     auto& polled = m_polled_servers[server];
     const auto report = result.answer ? m_state.wire.read_load(server, *result.answer) : std::nullopt;
     if (report) {
+        if (m_state.wire.read_answer(result.answer->head).leaving) {
+            on_leaving(*report);
+        }
         polled.unanswered = 0;
         record(polled, *report);
         return;
@@ -92,6 +95,22 @@
     }
 }
 
+// Only a report of the listed run is the server's own: another server may have the
+// address by now.
+void report_poller::on_leaving(const server_report& report) {
+    const auto now = m_state.timers.now();
+    const auto* listed = m_state.servers.find(report.server, now);
+    const auto run = report.started_at_unix_ms;
+    if (listed == nullptr || run == 0 || listed->started_at_unix_ms != run ||
+        !m_state.statements.on_leaving({report.server, run}, now)) {
+        return;
+    }
+    log_line("server leaves").add("server", report.server.value).info();
+    if (m_state.notices.on_leaving) {
+        m_state.notices.on_leaving({report.server, run});
+    }
+}
+
 void report_poller::record(polled_server& polled, const server_report& report) {
     const auto now = m_state.timers.now();
     const int known = m_state.load.load_of(report.server, now).used_slots;
--- a/src/serving/report_poller.hpp
+++ b/src/serving/report_poller.hpp
@@ -28,6 +28,7 @@
     void poll_due_engines();
     void poll(const server_entry& server);
     void on_answer(const server_name& server, const call_result& result);
+    void on_leaving(const server_report& report);
     void record(polled_server& polled, const server_report& report);
 
     gateway_state& m_state;
--- a/test/correctness/serving_platform_protocol.cpp
+++ b/test/correctness/serving_platform_protocol.cpp
@@ -203,6 +203,9 @@
     CHECK(report->held_tokens == 41'000);
     CHECK(report->slowdown == 1.5);
     CHECK(read(200, R"({"queued":1,"running":12,"kv-used":41000})")->slowdown == 1);
+    CHECK(read(200, R"({"queued":1,"running":12,"kv-used":41000})")->started_at_unix_ms == 0);
+    CHECK(read(200, R"({"queued":1,"running":12,"kv-used":41000,"born":77})")->started_at_unix_ms == 77);
+    CHECK_FALSE(read(200, R"({"queued":1,"running":12,"kv-used":41000,"born":"77"})"));
     CHECK_FALSE(read(200, R"({"queued":1,"kv-used":41000})"));
     CHECK_FALSE(read(200, R"({"queued":"1","running":12,"kv-used":41000})"));
     CHECK_FALSE(read(503, R"({"queued":1,"running":12,"kv-used":41000})"));
--- a/test/error/serving_server_statements.cpp
+++ b/test/error/serving_server_statements.cpp
@@ -1,6 +1,6 @@
 // Tests servers that state that they leave or want a pause. Guards against requests
 // that reach them all the same, and against sound servers that are taken out.
-#include "serving_rig.hpp"
+#include "scripted_engines.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -94,7 +94,12 @@
 }  // namespace
 
 TEST_CASE("a server that says that it leaves gets no further request from any daemon") {
-    statement_rig rig({"host-1", "host-2", "host-3"});
+    const int host_count = GENERATE(3, 9);
+    std::vector<std::string> names;
+    for (int index = 1; index <= host_count; ++index) {
+        names.push_back("host-" + std::to_string(index));
+    }
+    statement_rig rig(names);
     REQUIRE(rig.all_ready);
     rig.respond = answer_leaving;
     rig.load(rig.hosts, 300ms);
@@ -103,10 +108,10 @@
     CHECK(rig.load(rig.hosts, 1s) > 30);
     CHECK(rig.arrived_since(told) == 0);
     // A daemon that starts later learns of it from the others.
-    rig.start_daemon("host-4");
-    REQUIRE(rig.run_until_ready("host-4"));
+    rig.start_daemon("host-late");
+    REQUIRE(rig.run_until_ready("host-late"));
     rig.run_for(2 * heartbeat_period);
-    CHECK(rig.load({"host-4"}, drain_time) > 60);
+    CHECK(rig.load({"host-late"}, drain_time) > 60);
     CHECK(rig.arrived_since(told) == 0);
 }
 
@@ -219,3 +224,29 @@
     rig.load({"host-2"}, 700ms);
     CHECK(rig.arrived_since(paused) > 0);
 }
+
+TEST_CASE("a report that a server leaves counts if it names the run, and is told to the other daemons") {
+    serving_rig rig;
+    scripted_engines engines(rig, 2);
+    engines.report_fields = "Server-Leaving: 1\r\n";
+    bool names_run = true;
+    SECTION("it names the run") {}
+    SECTION("it names another run") {
+        names_run = false;
+        engines.reported_born = scripted_engines::born + 1;
+    }
+    rig.start_daemon("host-1");
+    rig.start_daemon("host-2");
+    REQUIRE(rig.run_until_ready("host-1"));
+    REQUIRE(rig.run_until_ready("host-2"));
+    const auto count_leaving = [&](const std::string& host) {
+        auto& asking = rig.call_address(rig.settings(host).metrics_address, "GET /m HTTP/1.1\r\nHost: h\r\n\r\n");
+        const std::string label = "\nverbenahold_leaving_servers ";
+        rig.run_until([&] { return asking.received().find(label) != std::string::npos; });
+        return std::stoi(asking.received().substr(asking.received().find(label) + label.size()));
+    };
+    rig.run_for(heartbeat_period + 3 * report_period);
+    for (const char* host : {"host-1", "host-2"}) {
+        CHECK(count_leaving(host) == (names_run ? 2 : 0));
+    }
+}
--- a/test/rig/scripted_engines.cpp
+++ b/test/rig/scripted_engines.cpp
@@ -28,6 +28,9 @@
         const auto& added = rig.add_server(
             name, [this, name](const http_request& request, const auto& session) { answer(name, request, session); });
         m_server_at[added.address()] = name;
+        rig.store.put("servers", name,
+                      R"({"service":"app","address":")" + added.address() +
+                          R"(","zone":"zone-a","slots":4,"state":"ready","born":)" + std::to_string(born) + "}");
     }
     const auto route = [](const std::string& name, const std::string& more) {
         return R"({"name":")" + name + R"(","prefix":"/)" + name +
@@ -151,8 +154,10 @@
         }
     }
     if (reports) {
-        session->write(json_text(200, R"({"stage":"unified","queued":0,"running":0,"kv-total":10000,"kv-used":)" +
-                                          std::to_string(held) + R"(,"tickets":[)" + tickets + "]}"));
+        auto answer = json_text(200, R"({"stage":"unified","queued":0,"running":0,"kv-total":10000,"born":)" +
+                                         std::to_string(reported_born) + R"(,"kv-used":)" + std::to_string(held) +
+                                         R"(,"tickets":[)" + tickets + "]}");
+        session->write(answer.insert(answer.find("\r\n") + 2, report_fields));
     }
 }
 
--- a/test/rig/scripted_engines.hpp
+++ b/test/rig/scripted_engines.hpp
@@ -70,10 +70,15 @@
     bool starts_at_once = false;
     // Reports are answered.
     bool reports = true;
+    // More header lines of reports, each with its line end, and the start time in them.
+    std::string report_fields;
+    std::int64_t reported_born = 7;
     // The requests that began to run, by attempt id.
     std::vector<std::string> runs;
     int orders = 0;
 
+    // Start time of the engines in their entries.
+    static constexpr std::int64_t born = 7;
     static constexpr std::int64_t memory_tokens = 10'000;
     static constexpr std::int64_t long_prompt_tokens = 15'000;
 
