--- a/src/serving/exchange_attempts.cpp
+++ b/src/serving/exchange_attempts.cpp
@@ -182,8 +182,6 @@
     return m_state.pool.take(address, once ? max_idle_time_for_single_runs : default_max_idle_time);
 }
 
-}
-
 void exchange::end_attempt() {
     m_state.timers.unsubscribe(m_silence_timer);
     if (!m_attempt) {
--- a/test/error/serving_server_connections.cpp
+++ b/test/error/serving_server_connections.cpp
@@ -126,7 +126,9 @@
     scripted_server server(loop, [](const http_request&, const session_pointer& session) {
         session->write("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine");
     });
-    const auto connection = std::make_shared<server_connection>(loop, server.address());
+    metrics counters;
+    handler_guard guard(counters);
+    const auto connection = std::make_shared<server_connection>(loop, guard, server.address());
     int answers = 0;
     const auto ask = [&] {
         answer_callbacks callbacks;
