Refuse requests without time left, and tell callers of faults at a request's end

A request whose time limit had passed was forwarded with 1 ms left and answered 504: an order could run for nothing. An exception while the end of a request is logged left its caller waiting, since the exchange had forgotten its sink. The stop accepted requests for the whole three seconds that the platform's rule allows, so that a late signal or check put them past it.

--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -6,6 +6,7 @@
 #include "wait_policy.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace verbenahold::serving {
 
@@ -74,6 +75,10 @@
     }
     const auto allowed = std::min(m_route->timeout, m_request.time_limit.value_or(m_route->timeout));
     m_deadline = m_received_at + allowed;
+    if (time_left() <= deadline_margin) {
+        fail(503, "no time is left for the request", retry_after_rejection);
+        return false;
+    }
     if (!m_state.stop.may_forward(m_state.timers.now(), m_deadline)) {
         fail(503, "the daemon is stopping", retry_after_rejection);
         return false;
@@ -229,6 +234,9 @@
 void exchange::on_internal_fault() {
     if (!m_ended) {
         give_up_for(early_end::internal_fault, "an exception in the daemon");
+    } else if (m_sink != nullptr) {
+        // The exception came before the caller was told how the request ended.
+        std::exchange(m_sink, nullptr)->cut_off(early_end::internal_fault);
     }
 }
 
@@ -292,7 +300,6 @@
     m_state.timers.unsubscribe(m_deadline_timer);
     m_state.timers.unsubscribe(m_wait_timer);
     end_attempt();
-    m_sink = nullptr;
     const auto took = m_state.timers.now() - m_received_at;
     auto counter = "requests_" + std::string(outcome);
     std::replace(counter.begin(), counter.end(), ' ', '_');
@@ -312,6 +319,7 @@
     } else {
         line.warn();
     }
+    m_sink = nullptr;
 }
 
 }  // namespace verbenahold::serving
--- a/src/serving/planned_stop.hpp
+++ b/src/serving/planned_stop.hpp
@@ -9,8 +9,9 @@
 namespace verbenahold::serving {
 
 // Connections are still accepted for this long after the stop signal, since
-// callers may still use cached directory answers.
-inline constexpr duration accept_time_while_stopping = std::chrono::milliseconds(3'000);
+// callers may still use cached directory answers. Requests sent later than three
+// seconds after it may not be cut at the exit; the rest is for late signals and checks.
+inline constexpr duration accept_time_while_stopping = std::chrono::milliseconds(2'700);
 // Requests that are still open this long before the stop grace ends are answered with
 // an error.
 inline constexpr duration answer_margin = std::chrono::milliseconds(400);
--- a/test/error/serving_gateway.cpp
+++ b/test/error/serving_gateway.cpp
@@ -57,6 +57,35 @@
     CHECK(field_value(seen.fields, "Authorization").empty());
 }
 
+TEST_CASE("a request without time left is refused and reaches no server") {
+    const auto limit = GENERATE(as<std::string>{}, "0", "-5", "30");
+    CAPTURE(limit);
+    serving_rig rig;
+    auto& server = rig.add_server("i-1", answer_well);
+    rig.put_desired_state();
+    rig.start_daemon("host-1");
+    REQUIRE(rig.run_until_ready("host-1"));
+    std::string text = request_text("POST", "/unsafe/x", "a-1", "order");
+    text.replace(text.find("Deadline-Ms: 2000"), 17, "Deadline-Ms: " + limit);
+    auto& caller = rig.call("host-1", text);
+    REQUIRE(rig.run_until([&] { return has_answer(caller); }));
+    CHECK(is_status(caller, 503));
+    CHECK(server.requests().empty());
+}
+
+TEST_CASE("a time limit beyond every range is read as a long one") {
+    serving_rig rig;
+    rig.add_server("i-1", answer_well);
+    rig.put_desired_state();
+    rig.start_daemon("host-1");
+    REQUIRE(rig.run_until_ready("host-1"));
+    std::string text = request_text("POST", "/unsafe/x", "a-1", "order");
+    text.replace(text.find("Deadline-Ms: 2000"), 17, "Deadline-Ms: 9223372036854775807");
+    auto& caller = rig.call("host-1", text);
+    REQUIRE(rig.run_until([&] { return has_answer(caller); }));
+    CHECK(is_status(caller, 200));
+}
+
 TEST_CASE("before a desired state is known requests are refused, never called unknown") {
     serving_rig rig;
     rig.start_daemon("host-1");
