Keep connections after streams while a planned stop still accepts requests

A stream that began before a planned stop told its caller that the connection stays open, and the connection was closed at the stream's end all the same, from the first moment of the stop on. Requests are accepted for the first part of the stop, so such a connection now stays open for that time; the next answer announces the close, and idle connections are closed as before when the time is over.

The test failed before: the second request did not reach its server.

--- a/src/serving/front_session.cpp
+++ b/src/serving/front_session.cpp
@@ -283,7 +283,9 @@
             write("0\r\n\r\n");
         }
         m_answer_complete = true;
-        request_ended(!closes_after_answer());
+        // Its head may have told the caller that the connection stays open.
+        const bool may_go_on = m_keep && m_state.stop.accepts_requests(m_state.timers.now());
+        request_ended(may_go_on || !closes_after_answer());
     });
 }
 
--- a/test/error/serving_stop.cpp
+++ b/test/error/serving_stop.cpp
@@ -80,6 +80,24 @@
     CHECK(daemon.server->requests().size() == 1);
 }
 
+TEST_CASE("early in a planned stop the next request on a connection that was not announced to close is answered") {
+    stopping_daemon daemon;
+    auto& rig = daemon.rig;
+    auto& caller = rig.call("host-1", patient_request("/stream/x", "a-1"));
+    REQUIRE(rig.run_until([&] { return caller.received().find("piece 1") != std::string::npos; }));
+    rig.stop_daemons();
+    rig.run_for(100ms);
+    daemon.open[0].second->write(stream_chunk(2) + stream_end);
+    REQUIRE(rig.run_until([&] { return caller.received().ends_with(stream_end); }));
+    caller.send(patient_request("/unsafe/x", "a-2"));
+    REQUIRE(rig.run_until([&] { return daemon.open.size() == 2 || caller.ended(); }));
+    REQUIRE(daemon.open.size() == 2);
+    daemon.open[1].second->write(proved_answer(daemon.open[1].first, "fine"));
+    REQUIRE(rig.run_until([&] { return caller.ended(); }));
+    CHECK(answers_in(caller, "200") == 2);
+    CHECK(caller.received().find("Connection: close") != std::string::npos);
+}
+
 TEST_CASE("requests that are open at the end of a planned stop are answered before the process exits") {
     stopping_daemon daemon;
     auto& rig = daemon.rig;
