--- a/test/soak/backend_server.cpp
+++ b/test/soak/backend_server.cpp
@@ -456,6 +456,8 @@
     seen.ended = now_ms();
     if (!job.ended_by.empty()) {
         seen.disruption = job.ended_by;
+        // An orderly end would complete a stream without length and chunks.
+        reset(open);
         co_return false;
     }
     co_return co_await end_stream(open, seen, first_event);
