Decide in one place whether a refusal may promise that nothing ran

Four places chose between 503 and 502 by whether a server may have run the request. They now call exchange::refuse, so that no new way to end a request can promise what is not certain. No change of behaviour.

--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -116,11 +116,7 @@
             .add("request", m_request.attempt_id)
             .add("parts", joined(m_request.shared_parts))
             .info();
-        if (m_history.may_have_run > 0) {
-            fail(502, "servers crash on requests like this one");
-        } else {
-            fail(503, "servers crash on requests like this one", retry_after_crashes);
-        }
+        refuse("servers crash on requests like this one", retry_after_crashes);
         return;
     }
     const auto result = choose_servers();
@@ -208,22 +204,19 @@
                 self->contained([&] { self->place(); });
             }
         });
-    } else if (m_history.may_have_run > 0) {
-        fail(502, reason.reason);
     } else {
-        fail(503, reason.reason, std::get<refuse_request>(decision).retry_after);
+        refuse(reason.reason, std::get<refuse_request>(decision).retry_after);
     }
 }
 
 void exchange::on_deadline() {
     const auto self = shared_from_this();
-    const bool ran = m_history.may_have_run > 0;
     if (m_history.answer_begun) {
         cut_off(early_end::out_of_time, "out of time");
-    } else if (ran) {
+    } else if (m_history.may_have_run > 0) {
         fail(504, "out of time");
     } else {
-        fail(503, "out of time before a server took the request", retry_after_rejection);
+        refuse("out of time before a server took the request", retry_after_rejection);
     }
 }
 
@@ -243,10 +236,8 @@
 void exchange::give_up_for(early_end cause, std::string_view reason) {
     if (m_history.answer_begun) {
         cut_off(cause, reason);
-    } else if (m_history.may_have_run > 0) {
-        fail(502, reason);
     } else {
-        fail(503, reason, retry_after_rejection);
+        refuse(reason, retry_after_rejection);
     }
 }
 
@@ -272,6 +263,14 @@
     }
 }
 
+void exchange::refuse(std::string_view reason, duration retry_after) {
+    if (m_history.may_have_run > 0) {
+        fail(502, reason);
+    } else {
+        fail(503, reason, retry_after);
+    }
+}
+
 void exchange::cut_off(early_end cause, std::string_view reason) {
     auto* sink = m_sink;
     finish("cut off", 0, reason);
--- a/src/serving/exchange.hpp
+++ b/src/serving/exchange.hpp
@@ -147,6 +147,9 @@
     void handle_outcome(const attempt_outcome& outcome, std::string_view reason);
     void send_answer(const http_answer& answer);
     void fail(int status, std::string_view reason, std::optional<duration> retry_after = std::nullopt);
+    // Ends the request with an error of this daemon: 503, which promises that the request did
+    // not run, only if no server may have run it, otherwise 502.
+    void refuse(std::string_view reason, duration retry_after);
     void cut_off(early_end cause, std::string_view reason);
     void finish(std::string_view outcome, int status, std::string_view reason);
 
--- a/src/serving/exchange_attempts.cpp
+++ b/src/serving/exchange_attempts.cpp
@@ -464,10 +464,8 @@
             cut_off(early_end::no_retry_budget, "the budget for repeats is used up");
         } else if (std::holds_alternative<attempt_failed>(outcome)) {
             send_answer(failure);
-        } else if (m_history.may_have_run > 0) {
-            fail(502, "the budget for repeats is used up");
         } else {
-            fail(503, "the budget for repeats is used up", retry_after_rejection);
+            refuse("the budget for repeats is used up", retry_after_rejection);
         }
         return;
     }
