Follow a table from the version of the first page of its list

A row on the first page that changed before the last page of a list was read kept its old value until its next change: changes were asked for from the version of the last page on. A daemon with more than 500 rows could go on using a server that was draining. The version of the first page counts now; rows that later pages already had are skipped by their versions.

--- a/src/serving/table_follower.cpp
+++ b/src/serving/table_follower.cpp
@@ -123,11 +123,13 @@
 void table_follower::load(const std::string& first_key) {
     if (first_key.empty()) {
         m_loading.clear();
+        m_loading_version.reset();
     }
     call(m_wire.list_rows(m_table, first_key), store_call_limit, [this](const store_page& page) { on_page(page); });
 }
 
 void table_follower::on_page(const store_page& page) {
+    m_loading_version = m_loading_version.value_or(page.version);
     for (const auto& row : page.rows) {
         m_loading[row.key] = row;
     }
@@ -136,7 +138,7 @@
         load(page.rows.back().key);
         return;
     }
-    replace(std::move(m_loading), page.version);
+    replace(std::move(m_loading), *m_loading_version);
     m_loading.clear();
     schedule_next_poll();
 }
--- a/src/serving/table_follower.hpp
+++ b/src/serving/table_follower.hpp
@@ -92,6 +92,8 @@
     change_callback m_on_change;
     rows m_rows;
     rows m_loading;
+    // Version of the first page: rows on it may have changed since, before later pages.
+    std::optional<std::uint64_t> m_loading_version;
     std::deque<store_row> m_removed;
     // Oldest version since which all changes are known; daemons with an older one
     // get the complete table.
