Forget sent requests that no longer count for a server's rate

The times of requests to servers of services without a rate limit were kept for good, eight bytes for each request. They are dropped now when they leave the window, also where no limit is asked for. The test uses a new accessor, so it was not run on the former code.

--- a/src/routing/send_pacer.hpp
+++ b/src/routing/send_pacer.hpp
@@ -33,8 +33,15 @@
     bool may_send(const server_name& server, const service& target, int daemons, time_point now);
     void on_sent(const server_name& server, time_point now);
     void forget(const server_name& server) { m_sent.erase(server); }
+    // Number of requests to the server that are kept for counting.
+    [[nodiscard]] std::size_t remembered(const server_name& server) const {
+        const auto found = m_sent.find(server);
+        return found == m_sent.end() ? 0 : found->second.size();
+    }
 
 private:
+    static void expire(std::deque<time_point>& sent, time_point now);
+
     cold_bound m_bound;
     std::map<server_name, std::deque<time_point>> m_sent;
 };
--- a/test/correctness/core_serving_limits.cpp
+++ b/test/correctness/core_serving_limits.cpp
@@ -62,6 +62,14 @@
     }
 }
 
+TEST_CASE("the memory of requests sent to a server without a rate limit does not grow for good") {
+    send_pacer pacer({1, 0});
+    for (duration now{}; now < 60s; now += 10ms) {
+        pacer.on_sent(server_name("one"), at(now));
+    }
+    CHECK(pacer.remembered(server_name("one")) <= static_cast<std::size_t>(pacing_window / 10ms) + 1);
+}
+
 TEST_CASE("retries of all daemons stay within the shared budget, wherever requests arrive") {
     constexpr int daemons = 9;
     const retry_limits limits{0.2, 106, 10s};
