--- a/test/error/serving_stop.cpp
+++ b/test/error/serving_stop.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <csignal>
+
 using namespace verbenahold;
 using namespace verbenahold::serving;
 using namespace std::chrono_literals;
@@ -152,3 +154,31 @@
     CHECK(std::chrono::steady_clock::now() - began < 1'500ms);
     CHECK(rig.run_until([&] { return idle.ended(); }));
 }
+
+TEST_CASE("a new desired state, a server that leaves and a reload end no request that runs") {
+    stopping_daemon daemon;
+    auto& rig = daemon.rig;
+    auto& plain = rig.call("host-1", patient_request("/unsafe/x", "a-1"));
+    REQUIRE(rig.run_until([&] { return daemon.open.size() == 1; }));
+    auto& stream = rig.call("host-1", patient_request("/stream/x", "a-2"));
+    REQUIRE(rig.run_until([&] { return stream.received().find("piece 1") != std::string::npos; }));
+    // Version 2 has neither the routes nor the key of the two requests.
+    rig.store.put("op", "config",
+                  R"({"version":2,"routes":[{"name":"safe","host":"h.example","prefix":"/safe/","kind":"safe",
+                      "timeout-ms":500,"service":"app"}],"services":[{"name":"app"}],
+                      "tenants":[{"name":"first","api-keys":["key-2"]}]})");
+    rig.store.put("servers", "i-1",
+                  R"({"service":"app","address":")" + daemon.server->address() +
+                      R"(","zone":"zone-a","slots":4,"state":"draining"})");
+    std::raise(SIGHUP);
+    REQUIRE(rig.run_until([&] {
+        auto& asking = rig.call("host-1", patient_request("/unsafe/x", "a-3"));
+        rig.run_until([&] { return asking.received().find("\r\n\r\n") != std::string::npos; });
+        return answers_in(asking, "404") == 1;
+    }));
+    rig.run_for(700ms);
+    daemon.open[0].second->write(proved_answer(daemon.open[0].first, "fine"));
+    daemon.open[1].second->write(stream_chunk(2) + stream_end);
+    CHECK(rig.run_until([&] { return plain.received().ends_with("fine"); }));
+    CHECK(rig.run_until([&] { return stream.received().ends_with(stream_end); }));
+}
