--- a/test/correctness/serving_platform_protocol.cpp
+++ b/test/correctness/serving_platform_protocol.cpp
@@ -61,6 +61,15 @@
     }
 }
 
+TEST_CASE("a time limit beyond any clock leaves the request time") {
+    const auto stated = GENERATE("9999999999992000", "9223372036854775807");
+    const auto request =
+        platform::decode_request({"GET", "/x", {{"Host", "h"}, {"Verbenahold-Deadline-Ms", stated}}, {}});
+    REQUIRE(request.time_limit);
+    CHECK(*request.time_limit > std::chrono::hours(1));
+    CHECK(*request.time_limit < std::chrono::hours(24 * 366));
+}
+
 TEST_CASE("a request to a server carries the remaining time, the server and the account") {
     forwarding added;
     added.server = server_name("i-7");
