Parse HTTP messages without allocating lengths that a peer announces

Cause: Boost.Beast's string body reserves the announced length (std::bad_alloc), and its fields throw std::length_error for a value of 64 KiB, which a trailer may reach since header_limit bounds the header only. Trailers and extensions of chunks of a request had no bound at all, and trailers were merged into the header fields of the request.

Change: message_parser derives from Beast's basic_parser, which does the framing, and keeps the message itself: the body grows to powers of two as bytes arrive, the bytes of all field names and values are bounded, and trailers are checked and dropped. request_reader bounds bytes in a row that add nothing to a body, as answer_parser did, and both parse from the read buffer without a copy and keep no buffer once it is used.

--- a/src/serving/request_reader.hpp
+++ b/src/serving/request_reader.hpp
@@ -3,11 +3,9 @@
 // length and a transfer coding, or with any transfer coding but "chunked".
 #pragma once
 
-#include "http_types.hpp"
-
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include "message_parser.hpp"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -35,6 +33,8 @@
     // Call only when complete. The next feed(), also of no bytes, parses the
     // next request.
     http_request take_request();
+    // Drops what was received of a request that won't be completed.
+    void drop();
     // Connection properties of the last complete request.
     [[nodiscard]] bool keep_alive() const { return m_keep_alive; }
     [[nodiscard]] bool is_http_1_0() const { return m_http_1_0; }
@@ -45,7 +45,16 @@
 
     // A request has begun and is not complete.
     [[nodiscard]] bool has_begun() const { return m_state == progress::incomplete && m_begun; }
-    [[nodiscard]] bool header_done() const { return m_parser && m_parser->is_header_done(); }
+    [[nodiscard]] bool header_done() const { return m_parser->is_header_done(); }
+    // Bytes of the current request's body and of what follows, and the memory that
+    // holds them.
+    [[nodiscard]] std::size_t received_bytes() const { return m_parser->body.size() + m_input.size(); }
+    [[nodiscard]] std::size_t held_bytes() const { return m_parser->body.capacity() + m_input.size(); }
+    // The head of the current request; its body is empty. Call when header_done().
+    [[nodiscard]] http_request head() const { return {m_parser->method, m_parser->target, m_parser->fields, {}}; }
+    // Length of the current request's body as announced; empty if it is not known yet
+    // or the body comes in chunks.
+    [[nodiscard]] std::optional<std::uint64_t> announced_body_bytes() const;
     // Returns true once if the caller sent "Expect: 100-continue" and waits
     // before it sends the body.
     bool take_expects_continue();
@@ -53,16 +62,19 @@
     [[nodiscard]] std::size_t waiting_bytes() const { return m_input.size(); }
 
 private:
-    using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
-
     void make_parser();
-    void parse();
+    // Returns the number of bytes that were used.
+    std::size_t parse(std::string_view bytes);
+    void reject(int status, std::string reason);
     // Why the end of a request with this header is ambiguous; empty if it is not.
     [[nodiscard]] std::string_view framing_fault() const;
 
     request_bounds m_bounds;
-    std::optional<parser> m_parser;
+    std::optional<message_parser<true>> m_parser;
+    // Bytes that wait to be parsed.
     std::string m_input;
+    // Bytes in a row that added nothing to a body.
+    std::size_t m_bytes_without_body = 0;
     progress m_state = progress::incomplete;
     std::string m_fault;
     int m_fault_status = 400;
