Bound the bytes in flight of a daemon by one budget

Cause: nothing counted the bytes of all connections together. A whole answer was buffered up to 16 MiB, also one without proof that is never passed on, and copied three times; answers to the daemon's own calls had no bound; a request's body was held in three copies, and idle connections kept their largest buffer.

Each use has a part that no other can take. A request's announced length takes room but no memory; without room its reading pauses, in the order of arrival, for at most 600 ms, and then it is refused: 503 with Retry-After, or 413 where it can never fit. It has not been passed on then. A caller that stalls inside a body for a second while others wait gets 408.

An answer without proof is dropped as it arrives and given up after 64 KiB. A proved answer over 256 KiB is passed on as it arrives, in chunks, so that an end before its time is a reset; failures are bounded by 1 MiB. Reading from a server pauses by what is left of the budget, and a stream whose caller reads slowly is not taken for a silent server. A connection that goes back to the pool is not paused. Calls have bounds of their own, 256 KiB or, for rows of tables, 8 MiB; the unpacked length that another daemon states is checked. Bodies are shared and not copied, and buffers of 128 KiB and more go back to the system when they are freed.

"memory short" and "request without room" log what happens; metrics give the bytes by use, their peak, what waited or was turned away, and the resident memory.

--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -6,6 +6,7 @@
 #include "wait_policy.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace verbenahold::serving {
 
@@ -27,7 +28,11 @@
 }  // namespace
 
 exchange::exchange(gateway_state& state, answer_sink& sink, caller_request request, time_point received_at)
-    : m_state(state), m_sink(&sink), m_request(std::move(request)), m_received_at(received_at) {
+    : m_state(state),
+      m_sink(&sink),
+      m_request(std::move(request)),
+      m_body(std::make_shared<const std::string>(std::exchange(m_request.request.body, {}))),
+      m_received_at(received_at) {
     m_number = ++m_state.last_request;
     ++m_state.open_requests;
 }
@@ -89,7 +94,7 @@
 std::vector<request_trait> exchange::traits() const {
     const std::string_view account =
         m_account != nullptr ? std::string_view(m_account->name.value) : std::string_view();
-    std::vector<request_trait> found{trait_of_request(account, m_request.request.target, m_request.request.body)};
+    std::vector<request_trait> found{trait_of_request(account, m_request.request.target, *m_body)};
     for (const auto& part : m_request.shared_parts) {
         if (found.size() >= max_traits_per_request) {
             break;
@@ -242,11 +247,11 @@
     }
 }
 
-void exchange::send_answer(const http_answer& answer) {
+void exchange::send_answer(http_answer answer) {
     auto* sink = m_sink;
     finish("answered", answer.head.status, "");
     if (sink != nullptr) {
-        sink->answer(answer);
+        sink->answer(std::move(answer));
     }
 }
 
--- a/src/serving/exchange.hpp
+++ b/src/serving/exchange.hpp
@@ -28,7 +28,7 @@
     answer_sink& operator=(answer_sink&&) = delete;
 
     // Sends a complete answer. The exchange has ended.
-    virtual void answer(const http_answer& answer) = 0;
+    virtual void answer(http_answer answer) = 0;
     // Sends the head of an answer whose body follows in calls of stream().
     virtual void begin_stream(const http_answer_head& head) = 0;
     virtual void stream(std::string bytes) = 0;
@@ -44,6 +44,8 @@
 // One attempt to run the request at a server, from the choice of the server to
 // the attempt's end.
 struct server_attempt {
+    explicit server_attempt(byte_budget& budget) : held(budget, byte_use::answers) {}
+
     // Null until the request is forwarded.
     std::shared_ptr<server_connection> connection;
     // Set if KV memory is reserved for the prompt at helping servers.
@@ -59,7 +61,12 @@
     http_answer answer;
     server_answer decoded;
     event_splitter events;
+    // Bytes of the answer that are not passed on yet.
+    byte_share held;
+    std::size_t bytes_received = 0;
     bool streams = false;
+    // The answer is passed on as it arrives, and has begun.
+    bool passes_through = false;
     bool prefill_done_announced = false;
     bool kept_waiting_logged = false;
 };
@@ -113,7 +120,10 @@
     void end_attempt();
 
     bool on_head(const http_answer_head& head);
-    void on_body(std::string_view bytes);
+    void on_body(std::string bytes);
+    // Passes on what has arrived of a whole answer, and the rest as it arrives.
+    void pass_through();
+    void pass_on(std::string bytes);
     void on_events(std::vector<stream_event> events);
     void on_complete();
     void on_failure(const call_failure& failure);
@@ -145,7 +155,7 @@
     // Reports, counts and logs the failed attempt.
     void note_failed_attempt(const attempt_outcome& outcome, std::string_view reason);
     void handle_outcome(const attempt_outcome& outcome, std::string_view reason);
-    void send_answer(const http_answer& answer);
+    void send_answer(http_answer answer);
     void fail(int status, std::string_view reason, std::optional<duration> retry_after = std::nullopt);
     void cut_off(early_end cause, std::string_view reason);
     void finish(std::string_view outcome, int status, std::string_view reason);
@@ -154,7 +164,9 @@
 
     gateway_state& m_state;
     answer_sink* m_sink;
+    // Without the body.
     caller_request m_request;
+    std::shared_ptr<const std::string> m_body;
     time_point m_received_at;
     time_point m_deadline{};
     std::shared_ptr<const route_table> m_routes;
--- a/src/serving/exchange_attempts.cpp
+++ b/src/serving/exchange_attempts.cpp
@@ -18,11 +18,6 @@
 // The low bits of a work number count the attempts of one request.
 constexpr unsigned attempt_bits = 8;
 constexpr std::uint64_t attempt_mask = (1U << attempt_bits) - 1;
-// Largest non-streamed answer. It is buffered before it is passed on.
-constexpr std::size_t max_answer_bytes = 16UL * 1024 * 1024;
-// Reading from the server pauses while more bytes of the stream wait for the
-// caller.
-constexpr std::size_t max_unsent_bytes = 256UL * 1024;
 // Priorities that servers know; 0 is the most urgent.
 constexpr int lowest_priority = 9;
 
@@ -48,7 +43,7 @@
 }  // namespace
 
 void exchange::begin_attempt(const placement& chosen) {
-    m_attempt.emplace();
+    m_attempt.emplace(m_state.bytes);
     m_attempt->placed = chosen;
     m_attempt->server = chosen.primary.id;
     m_attempt->sent_at = m_state.timers.now();
@@ -159,14 +154,15 @@
         self->contained([&] { is_own = self->on_head(head); });
         return is_own;
     };
-    callbacks.on_body = [self](const std::string& bytes) { self->contained([&] { self->on_body(bytes); }); };
+    callbacks.on_body = [self](std::string bytes) { self->contained([&] { self->on_body(std::move(bytes)); }); };
     callbacks.on_complete = [self] { self->contained([&] { self->on_complete(); }); };
     callbacks.on_failure = [self](const call_failure& failure) { self->contained([&] { self->on_failure(failure); }); };
     if (!once) {
         limit_silence_before_answer();
     }
-    m_attempt->connection->send({request_bytes(request, {}), request.method == "HEAD", m_request.attempt_id},
-                                std::move(callbacks));
+    m_attempt->connection->send(
+        {request_head_bytes(request, {}, m_body->size()), request.method == "HEAD", m_request.attempt_id, m_body},
+        std::move(callbacks));
 }
 
 std::shared_ptr<server_connection> exchange::take_connection(const std::string& address) {
@@ -235,22 +231,16 @@
     return true;
 }
 
-void exchange::on_body(std::string_view bytes) {
-    if (m_attempt->streams) {
-        on_events(m_attempt->events.feed(bytes));
-        return;
-    }
-    m_attempt->answer.body += bytes;
-    if (m_attempt->answer.body.size() > max_answer_bytes) {
-        handle_outcome(attempt_outcome_unknown{}, "the answer is too large");
-    }
-}
-
 void exchange::on_events(std::vector<stream_event> events) {
     if (m_attempt->events.overflowed()) {
         handle_outcome(attempt_outcome_unknown{}, "an event is too large");
         return;
     }
+    if (!m_attempt->held.try_hold_beyond(max_small_answer_bytes, m_attempt->events.pending())) {
+        m_state.counters.add("answers_without_room");
+        handle_outcome(attempt_outcome_unknown{}, "no room for an event");
+        return;
+    }
     std::string bytes;
     for (auto& event : events) {
         if (event.id && m_last_event) {
@@ -300,20 +290,11 @@
             m_history.answer_begun = true;
             m_sink->begin_stream(m_attempt->answer.head);
         }
-        m_sink->stream(std::move(bytes));
-        if (m_sink->unsent_bytes() > max_unsent_bytes) {
-            m_attempt->connection->pause_reading(true);
-        }
+        pass_on(std::move(bytes));
     }
     limit_silence_in_stream();
 }
 
-void exchange::on_output_written() {
-    if (m_attempt && m_attempt->connection) {
-        m_attempt->connection->pause_reading(false);
-    }
-}
-
 void exchange::on_complete() {
     const auto& current = *m_attempt;
     const int status = current.answer.head.status;
@@ -342,6 +323,15 @@
         sink->end_stream();
         return;
     }
+    if (current.passes_through) {
+        m_state.servers.report_success(current.server);
+        note_sound(m_state.timers.now());
+        end_attempt();
+        auto* sink = m_sink;
+        finish("answered", status, "passed on as it arrived");
+        sink->end_stream();
+        return;
+    }
     if (current.decoded.not_executed && success) {
         handle_outcome(attempt_outcome_unknown{}, "the answer contradicts itself");
         return;
@@ -366,9 +356,9 @@
     }
     m_state.servers.report_success(current.server);
     note_sound(m_state.timers.now());
-    const auto answer = current.answer;
+    auto answer = std::move(m_attempt->answer);
     end_attempt();
-    send_answer(answer);
+    send_answer(std::move(answer));
 }
 
 void exchange::on_failure(const call_failure& failure) {
@@ -447,11 +437,11 @@
 }
 
 void exchange::handle_outcome(const attempt_outcome& outcome, std::string_view reason) {
-    const auto failure = m_attempt->answer;
     if (std::holds_alternative<attempt_not_executed>(outcome)) {
         --m_history.may_have_run;
     }
     note_failed_attempt(outcome, reason);
+    auto failure = std::move(m_attempt->answer);
     const auto decision = decide_next(*m_route, m_history, outcome);
     end_attempt();
     if (const auto* elsewhere = std::get_if<try_another_server>(&decision)) {
@@ -463,7 +453,7 @@
         if (m_history.answer_begun) {
             cut_off(early_end::no_retry_budget, "the budget for repeats is used up");
         } else if (std::holds_alternative<attempt_failed>(outcome)) {
-            send_answer(failure);
+            send_answer(std::move(failure));
         } else if (m_history.may_have_run > 0) {
             fail(502, "the budget for repeats is used up");
         } else {
@@ -472,7 +462,7 @@
         return;
     }
     if (std::holds_alternative<deliver_failure>(decision)) {
-        send_answer(failure);
+        send_answer(std::move(failure));
     } else if (const auto* gone = std::get_if<give_up>(&decision)) {
         if (gone->not_run) {
             fail(503, gone->reason, retry_after_rejection);
--- a/src/serving/exchange_silence.cpp
+++ b/src/serving/exchange_silence.cpp
@@ -60,6 +60,11 @@
     if (!spare_attempt || !allowed) {
         return;
     }
+    // While the caller reads slowly, the server's bytes are not read.
+    if (m_attempt->connection && m_attempt->connection->is_paused()) {
+        restart_silence_timer(silence_check_period);
+        return;
+    }
     const auto now = m_state.timers.now();
     // A server that reported its load after the stream's last event is alive
     // and in a long engine step. Prefilling the prompt again at another server
--- a/src/serving/front_session.cpp
+++ b/src/serving/front_session.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 namespace verbenahold::serving {
@@ -16,6 +17,16 @@
 // Bytes of pipelined requests that are buffered during the current one. Reading
 // stops above this limit.
 constexpr std::size_t max_pipelined_bytes = 64UL * 1024;
+// How long a request waits for room in memory before it is refused. Callers give up
+// requests that are not read for a second.
+constexpr duration max_room_wait = std::chrono::milliseconds(600);
+// A caller that sends nothing of its body for this long is not waited for while other
+// requests need room.
+constexpr duration max_stall_while_others_wait = std::chrono::seconds(1);
+// Retry-After when there was no room.
+constexpr duration retry_after_no_room = std::chrono::milliseconds(500);
+// Bodies up to this size are sent in one piece with the head.
+constexpr std::size_t max_joined_body_bytes = 16UL * 1024;
 // After a graceful close, how long to wait for the caller to close its side.
 constexpr duration linger = std::chrono::milliseconds(500);
 // How long a caller may read nothing of an answer that has ended.
@@ -53,9 +64,14 @@
 }  // namespace
 
 front_session::front_session(gateway_state& state, tcp::socket socket)
-    : m_state(state), m_socket(std::move(socket)), m_reader(bounds()) {}
+    : m_state(state),
+      m_socket(std::move(socket)),
+      m_reader(bounds()),
+      m_received(state.bytes, byte_use::small_requests),
+      m_unsent(state.bytes, byte_use::answers) {}
 
 front_session::~front_session() {
+    stop_waiting_for_room();
     m_state.timers.unsubscribe(m_timeout);
 }
 
@@ -125,12 +141,12 @@
 
 void front_session::limit_write_stall() {
     m_state.timers.unsubscribe(m_timeout);
-    m_timeout = m_state.timers.after(max_write_stall, [weak = weak_from_this(), before = m_unsent] {
+    m_timeout = m_state.timers.after(max_write_stall, [weak = weak_from_this(), before = m_unsent.bytes()] {
         const auto self = weak.lock();
         if (!self || self->m_exchange) {
             return;
         }
-        if (self->m_unsent == before) {
+        if (self->m_unsent.bytes() == before) {
             self->close_socket(early_end::caller_stalled);
         } else if (self->m_writing) {
             self->limit_write_stall();
@@ -140,8 +156,26 @@
     });
 }
 
+void front_session::start_body_timeout(duration limit) {
+    const auto check = std::min(limit, max_stall_while_others_wait);
+    m_state.timers.unsubscribe(m_timeout);
+    m_timeout = m_state.timers.after(check, [weak = weak_from_this(), left = limit - check] {
+        const auto self = weak.lock();
+        if (!self || self->m_exchange) {
+            return;
+        }
+        if (left > duration::zero() && self->m_state.bytes.waiting() == 0) {
+            self->start_body_timeout(left);
+        } else {
+            self->start_timeout(duration::zero());
+        }
+    });
+}
+
 void front_session::read() {
-    if (m_reading || m_socket_closed || m_input_ended || m_reader.waiting_bytes() > max_pipelined_bytes) {
+    const auto max_waiting = std::min(max_pipelined_bytes, m_state.bytes.fair_share(byte_use::small_requests));
+    const bool has_room = m_closing || (!m_room_ticket && m_reader.waiting_bytes() <= max_waiting);
+    if (m_reading || m_socket_closed || m_input_ended || !has_room) {
         return;
     }
     m_reading = true;
@@ -179,7 +213,9 @@
         }
     }
     parse({m_chunk.data(), count});
-    if (!m_exchange) {
+    if (m_exchange) {
+        m_received.hold(m_request_bytes + m_reader.held_bytes());
+    } else if (take_request_bytes()) {
         handle_reader_state();
     }
     read();
@@ -190,6 +226,79 @@
     m_reader.feed(bytes);
 }
 
+bool front_session::take_request_bytes() {
+    const auto decision =
+        decide_reading(m_state.bytes, m_received,
+                       {m_reader.received_bytes(), m_reader.held_bytes(), m_reader.announced_body_bytes(),
+                        m_reader.state() != request_reader::progress::incomplete});
+    if (const auto* needed = std::get_if<await_room>(&decision)) {
+        wait_for_request_bytes(*needed);
+        return false;
+    }
+    if (std::holds_alternative<never_fits>(decision)) {
+        reject_without_room(413);
+        return false;
+    }
+    return true;
+}
+
+void front_session::wait_for_request_bytes(const await_room& needed) {
+    m_state.counters.add("requests_paused");
+    m_room_ticket =
+        m_state.bytes.wait_for(needed.use, needed.bytes, [this, needed] { on_request_bytes_granted(needed); });
+    // Holds this object, which has no pending read meanwhile.
+    m_room_timeout = m_state.timers.after(max_room_wait, [self = shared_from_this()] {
+        if (self->m_room_ticket) {
+            self->stop_waiting_for_room();
+            self->reject_without_room(503);
+        }
+    });
+}
+
+// Nothing that was received is used any more, except by an exchange that runs.
+void front_session::drop_input() {
+    stop_waiting_for_room();
+    m_reader.drop();
+    m_received.hold(m_exchange ? m_request_bytes : 0);
+}
+
+void front_session::stop_waiting_for_room() {
+    if (m_room_ticket) {
+        m_state.bytes.stop_waiting(*m_room_ticket);
+        m_room_ticket.reset();
+    }
+    m_state.timers.unsubscribe(m_room_timeout);
+}
+
+void front_session::on_request_bytes_granted(const await_room& granted) {
+    m_room_ticket.reset();
+    m_received.adopt(granted.use, granted.bytes);
+    const auto self = shared_from_this();
+    m_state.timers.unsubscribe(m_room_timeout);
+    contained([&] {
+        handle_reader_state();
+        read();
+    });
+}
+
+// The request has not been passed on, so that a 503 is a true statement.
+void front_session::reject_without_room(int status) {
+    m_state.counters.add("requests_without_room");
+    const auto request = m_state.wire.read_request(m_reader.head());
+    log_line("request without room")
+        .add("request", request.attempt_id)
+        .add("status", status)
+        .add("announced", m_reader.announced_body_bytes().value_or(0))
+        .add("received", m_reader.received_bytes())
+        .add("held_by_all", m_state.bytes.held())
+        .add("budget", m_state.bytes.total())
+        .warn();
+    const auto retry_after = status == 503 ? std::optional<duration>(retry_after_no_room) : std::nullopt;
+    m_keep = false;
+    write(answer_bytes({{status, {}, m_state.wire.own_answer_fields(request, retry_after)}, {}}, true, false));
+    close_gracefully();
+}
+
 void front_session::handle_reader_state() {
     if (m_reader.take_expects_continue()) {
         write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -204,7 +313,7 @@
         case request_reader::progress::incomplete:
             if (m_reader.header_done()) {
                 // The idle timeout also limits the time to receive a body.
-                start_timeout(limits().idle_timeout);
+                start_body_timeout(limits().idle_timeout);
             }
             break;
     }
@@ -222,6 +331,7 @@
     m_timing_request = false;
     m_keep = m_reader.keep_alive();
     m_unchunked_stream = m_reader.is_http_1_0();
+    m_request_bytes = m_received.bytes();
     auto request = m_state.wire.read_request(m_reader.take_request());
     m_head_request = request.request.method == "HEAD";
     m_request_id = request.attempt_id;
@@ -243,12 +353,19 @@
     return m_reader.state() != request_reader::progress::complete;
 }
 
-void front_session::answer(const http_answer& answer) {
+void front_session::answer(http_answer answer) {
     contained([&] {
         const bool close = closes_after_answer();
-        write(
-            answer_bytes({{answer.head.status, answer.head.reason, end_to_end_fields(answer.head.fields)}, answer.body},
-                         close, m_head_request));
+        answer.head.fields = end_to_end_fields(answer.head.fields);
+        auto bytes = answer_head_bytes(answer.head, answer.body.size(), close);
+        if (m_head_request) {
+            write(std::move(bytes));
+        } else if (answer.body.size() <= max_joined_body_bytes) {
+            write(std::move(bytes.append(answer.body)));
+        } else {
+            write(std::move(bytes));
+            write(std::move(answer.body));
+        }
         m_answer_complete = true;
         request_ended(!close);
     });
@@ -299,6 +416,8 @@
 
 void front_session::request_ended(bool keep) {
     m_exchange.reset();
+    m_request_bytes = 0;
+    m_received.hold(m_reader.held_bytes());
     const auto self = std::move(m_self);
     if (!keep) {
         close_gracefully();
@@ -325,7 +444,9 @@
             m_timing_request = true;
         }
         start_timeout(limits().header_timeout);
-        handle_reader_state();
+        if (take_request_bytes()) {
+            handle_reader_state();
+        }
     }
     read();
 }
@@ -334,7 +455,7 @@
     if (m_socket_closed) {
         return;
     }
-    m_unsent += bytes.size();
+    m_unsent.hold(m_unsent.bytes() + bytes.size());
     m_answer_bytes += bytes.size();
     m_output.push_back(std::move(bytes));
     if (!m_writing) {
@@ -359,7 +480,7 @@
         abandon(early_end::write_failed);
         return;
     }
-    m_unsent -= count;
+    m_unsent.hold(m_unsent.bytes() - std::min(count, m_unsent.bytes()));
     m_written_of_front += count;
     if (m_written_of_front == m_output.front().size()) {
         m_output.pop_front();
@@ -376,6 +497,7 @@
 
 void front_session::close_gracefully() {
     m_closing = true;
+    drop_input();
     if (m_writing) {
         limit_write_stall();
     } else {
@@ -425,10 +547,11 @@
         return;
     }
     m_socket_closed = true;
-    if (!m_answer_complete || m_unsent > 0) {
+    if (!m_answer_complete || m_unsent.bytes() > 0) {
         log_early_end(cause);
         m_state.counters.add(early_end_counter(cause));
     }
+    drop_input();
     m_state.timers.unsubscribe(m_timeout);
     boost::system::error_code ignored;
     m_socket.close(ignored);
@@ -441,7 +564,7 @@
         .add("host", m_state.settings.host.value)
         .add("cause", early_end_name(cause))
         .add("answer_bytes", m_answer_bytes)
-        .add("unwritten_bytes", m_unsent)
+        .add("unwritten_bytes", m_unsent.bytes())
         .add("answer_complete", m_answer_complete ? "yes" : "no");
     const auto add_time_since = [&](std::string_view name, const std::optional<time_point>& at) {
         if (at) {
--- a/src/serving/front_session.hpp
+++ b/src/serving/front_session.hpp
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <deque>
+#include <optional>
 
 namespace verbenahold::serving {
 
@@ -32,12 +33,12 @@
         return !m_exchange && !has_unanswered_input() && m_reader.waiting_bytes() == 0;
     }
 
-    void answer(const http_answer& answer) override;
+    void answer(http_answer answer) override;
     void begin_stream(const http_answer_head& head) override;
     void stream(std::string bytes) override;
     void end_stream() override;
     void cut_off(early_end cause) override;
-    [[nodiscard]] std::size_t unsent_bytes() const override { return m_unsent; }
+    [[nodiscard]] std::size_t unsent_bytes() const override { return m_unsent.bytes(); }
 
 private:
     // Runs a handler; an exception ends the connection, with an answer if the fault came
@@ -51,6 +52,14 @@
     // Feeds the reader; a request that begins gets the limits that are now in force.
     void parse(std::string_view bytes);
     void handle_reader_state();
+    // Takes the bytes that the request needs to be received. False if it has to wait for
+    // them or was refused.
+    bool take_request_bytes();
+    void wait_for_request_bytes(const await_room& needed);
+    void on_request_bytes_granted(const await_room& granted);
+    void stop_waiting_for_room();
+    void drop_input();
+    void reject_without_room(int status);
     void start_next_request();
     void begin_exchange();
     void reject_malformed();
@@ -66,6 +75,7 @@
     void close_socket(early_end cause);
     void log_early_end(early_end cause) const;
     void start_timeout(duration limit);
+    void start_body_timeout(duration limit);
     // Closes the connection when its caller reads nothing of an answer for too long.
     void limit_write_stall();
     // A request has begun to arrive after the last one that was started.
@@ -84,11 +94,18 @@
     std::shared_ptr<front_session> m_self;
     std::deque<std::string> m_output;
     std::size_t m_written_of_front = 0;
-    std::size_t m_unsent = 0;
     // Id of the last request, and bytes of its answer so far.
     std::string m_request_id;
     std::size_t m_answer_bytes = 0;
     bool m_answer_complete = true;
+    // Bytes of the current request, and of what follows it.
+    byte_share m_received;
+    // Those of the request that runs.
+    std::size_t m_request_bytes = 0;
+    // Bytes that are not yet written.
+    byte_share m_unsent;
+    std::optional<byte_budget::ticket> m_room_ticket;
+    loop_timers::subscription m_room_timeout{};
     bool m_writing = false;
     bool m_reading = false;
     bool m_closing = false;
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -5,6 +5,7 @@
 #include "serving.pb.h"
 
 #include <QByteArray>
+#include <QtEndian>
 
 #include <algorithm>
 #include <array>
@@ -49,6 +50,9 @@
     "server_reports",
     "datagrams_ignored",
     "datagrams_unsent",
+    "requests_paused",
+    "requests_without_room",
+    "answers_without_room",
     "reservations_made",
     "reservations_given_up",
     early_end_counter(early_end::caller_left),
@@ -68,6 +72,8 @@
 // zlib level for rows that are sent to other daemons. A low level is fastest,
 // and a desired state shrinks to a tenth at any level.
 constexpr int compression_level = 2;
+// Largest table changes that are taken from another daemon, unpacked.
+constexpr quint32 max_unpacked_changes = 32U * 1024 * 1024;
 
 table_changes changes_of(const wire::StateChanges& message, store_table table) {
     const bool operators = table == store_table::operator_rows;
@@ -82,6 +88,16 @@
     return changes;
 }
 
+// Empty if the bytes are no compressed changes. The unpacked length comes first, and is
+// a claim of the sender.
+QByteArray unpack_changes(const std::string& packed) {
+    constexpr std::size_t length_bytes = 4;
+    if (packed.size() < length_bytes || qFromBigEndian<quint32>(packed.data()) > max_unpacked_changes) {
+        return {};
+    }
+    return qUncompress(QByteArray::fromStdString(packed));
+}
+
 void add_changes(wire::StateChanges& message, const table_changes& changes, store_table table) {
     for (const auto& row : changes.rows) {
         auto& copy = *message.add_rows();
@@ -117,6 +133,7 @@
         m_peers.send_sound_request(traits, began);
     };
     m_state.notices.on_leaving = [this](const leaving_statement& leaving) { m_peers.send_leaving(leaving); };
+    m_state.bytes.set_room_callback([this] { grant_waiting_soon(); });
     m_state.notices.on_limit_changed = [this](const limit_statement& limit) { m_peers.send_limit(limit); };
 }
 
@@ -131,6 +148,7 @@
             session->abandon(early_end::stopping);
         }
     }
+    m_state.bytes.set_room_callback({});
     m_peers.close();
     m_state.calls.abandon_all();
     m_state.loop.restart();
@@ -178,6 +196,7 @@
         m_state.pool.expire();
         m_state.calls.expire();
         m_state.load.drop_expired(m_state.timers.now());
+        watch_memory();
         log_new_blocks();
         std::erase_if(m_sessions, [](const auto& session) { return session.expired(); });
     });
@@ -371,10 +390,10 @@
                                {},
                                {}};
     m_state.calls.call(
-        peer.peer_address, request, peer_call_timeout, [this, name = peer.name](const call_result& result) {
+        peer.peer_address, request, peer_call_timeout,
+        [this, name = peer.name](const call_result& result) {
             m_fetching_changes = false;
-            const auto unpacked =
-                result.answer ? qUncompress(QByteArray::fromStdString(result.answer->body)) : QByteArray();
+            const auto unpacked = result.answer ? unpack_changes(result.answer->body) : QByteArray();
             wire::StateChanges changes;
             if (unpacked.isEmpty() || !changes.ParseFromArray(unpacked.data(), static_cast<int>(unpacked.size()))) {
                 log_line("no rows from daemon").add("daemon", name).add("reason", result.failure).warn();
@@ -382,7 +401,8 @@
             }
             m_operator_rows.apply_changes(changes_of(changes, store_table::operator_rows));
             m_server_rows.apply_changes(changes_of(changes, store_table::server_rows));
-        });
+        },
+        connection_choice::kept, max_table_answer_bytes);
 }
 
 // The query of the target holds the two table versions that the asking daemon
@@ -457,6 +477,7 @@
                                static_cast<double>(m_state.statements.count_pausing(m_state.timers.now())));
     m_state.counters.set_gauge("reservations_held", m_state.reservations_held);
     m_state.counters.set_gauge("reservations_unused", m_state.reservations_unused);
+    set_memory_gauges();
     m_state.counters.set_gauge("live_daemons", m_state.daemons.senders());
     m_state.counters.set_counter("server_connections_opened", static_cast<std::int64_t>(m_state.pool.opened()));
     m_state.counters.set_counter("call_connections_opened", static_cast<std::int64_t>(m_state.calls.opened()));
@@ -513,6 +534,7 @@
     m_state.repeats.set_limits(m_state.settings.repeats);
     m_state.pacer.set_bound(m_state.settings.cold);
     m_state.changes.settings_reloaded = m_state.timers.now();
+    m_state.bytes.set_memory(m_state.settings.memory_bytes);
     log_line("settings reloaded").add("from_next_start", held_back).info();
 }
 
--- a/src/serving/gateway.hpp
+++ b/src/serving/gateway.hpp
@@ -51,6 +51,10 @@
     void update_store_reader();
     void reload();
     void log_new_blocks();
+    void grant_waiting_soon();
+    // Logs when memory for requests gets short, and when it is there again.
+    void watch_memory();
+    void set_memory_gauges();
     void wait_for_signals();
     void begin_stop();
     void continue_stop();
@@ -78,6 +82,8 @@
     std::vector<std::weak_ptr<front_session>> m_sessions;
     bool m_tables_started = false;
     bool m_fetching_changes = false;
+    bool m_granting = false;
+    bool m_memory_short = false;
     // When another daemon last reported that it can't reach the store.
     std::optional<time_point> m_peer_store_trouble_at;
     // Compressed answers to requests for changes, by request target. Valid for
--- a/src/serving/gateway_state.hpp
+++ b/src/serving/gateway_state.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "active_role.hpp"
+#include "byte_budget.hpp"
 #include "connection_pool.hpp"
 #include "crash_attribution.hpp"
 #include "daemon_view.hpp"
@@ -66,9 +67,10 @@
           wire(protocol),
           loop(io),
           guard(counters),
+          bytes(chosen.memory_bytes),
           timers(io, guard),
           pool(io, timers),
-          calls(io, timers),
+          calls(io, timers, bytes),
           placing(lateness_policy{}, boot_of_daemon),
           pacer(chosen.cold),
           repeats(chosen.repeats),
@@ -82,6 +84,7 @@
     boost::asio::io_context& loop;
     metrics counters;
     handler_guard guard;
+    byte_budget bytes;
     loop_timers timers;
     // Connections to servers for the requests of callers.
     connection_pool pool;
--- a/src/serving/http_client.hpp
+++ b/src/serving/http_client.hpp
@@ -3,6 +3,7 @@
 // calls bear no id, so that one of a call and one of a request could not be told apart.
 #pragma once
 
+#include "byte_budget.hpp"
 #include "connection_pool.hpp"
 
 #include <functional>
@@ -20,6 +21,13 @@
 // Serializes a request as HTTP/1.1. Adds Host unless `host` is empty, and
 // Content-Length for methods or requests with a body.
 std::string request_bytes(const http_request& request, std::string_view host);
+// As above without the body, which has `body_bytes` bytes.
+std::string request_head_bytes(const http_request& request, std::string_view host, std::size_t body_bytes);
+
+// Largest answer to a call that is answered with a few values.
+inline constexpr std::size_t max_short_answer_bytes = 256UL * 1024;
+// Largest answer to a call that is answered with rows of a table.
+inline constexpr std::size_t max_table_answer_bytes = 8UL * 1024 * 1024;
 
 // Which connection a call uses. On a new one, no late answer to an earlier call can be taken
 // for the answer to this one.
@@ -29,11 +37,14 @@
 public:
     using callback = std::function<void(const call_result&)>;
 
-    http_client(boost::asio::io_context& loop, loop_timers& timers) : m_pool(loop, timers), m_timers(timers) {}
+    http_client(boost::asio::io_context& loop, loop_timers& timers, byte_budget& bytes)
+        : m_pool(loop, timers), m_timers(timers), m_bytes(bytes) {}
 
-    // Calls `done` once, with the answer or a failure, within `time_limit`.
+    // Calls `done` once, with the answer or a failure, within `time_limit`. A longer
+    // answer is a failure.
     void call(const std::string& address, const http_request& request, duration time_limit, callback done,
-              connection_choice choice = connection_choice::kept);
+              connection_choice choice = connection_choice::kept,
+              std::size_t max_answer_bytes = max_short_answer_bytes);
     // Closes the connections of all open calls without calling `done`.
     void abandon_all();
     // Closes connections that have been idle for too long.
@@ -44,6 +55,7 @@
 private:
     connection_pool m_pool;
     loop_timers& m_timers;
+    byte_budget& m_bytes;
     std::vector<std::weak_ptr<server_connection>> m_open;
 };
 
--- a/src/serving/presence.cpp
+++ b/src/serving/presence.cpp
@@ -107,11 +107,13 @@
 
 void presence::list_daemons(const std::string& first_key) {
     const auto request = m_state.wire.list_rows(store_table::daemon_rows, first_key);
-    m_state.calls.call(m_state.settings.store_address, request, store_call_limit, [this](const call_result& result) {
+    const auto on_answer = [this](const call_result& result) {
         m_state.guard.run(
             {"table", "daemons"}, [&] { on_listing(result); },
             [&] { on_listing_failed("the answer can't be handled"); });
-    });
+    };
+    m_state.calls.call(m_state.settings.store_address, request, store_call_limit, on_answer, connection_choice::kept,
+                       max_table_answer_bytes);
 }
 
 void presence::on_listing(const call_result& result) {
--- a/src/serving/server_connection.cpp
+++ b/src/serving/server_connection.cpp
@@ -79,6 +79,7 @@
 void server_connection::send(outgoing_request request, answer_callbacks callbacks) {
     m_callbacks = std::move(callbacks);
     m_output = std::move(request.bytes);
+    m_output_body = std::move(request.body);
     m_previous_request = std::exchange(m_current_request, std::move(request.name));
     m_busy = true;
     m_reusable = false;
@@ -130,13 +131,17 @@
 
 void server_connection::write() {
     m_writing = true;
-    boost::asio::async_write(m_socket, boost::asio::buffer(m_output),
+    const std::array<boost::asio::const_buffer, 2> buffers{
+        boost::asio::buffer(m_output),
+        m_output_body ? boost::asio::buffer(*m_output_body) : boost::asio::const_buffer()};
+    boost::asio::async_write(m_socket, buffers,
                              [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
                                  self->m_writing = false;
                                  // A write error is handled by the read, which also gets an answer
                                  // that the server sent before.
                                  if (!error) {
-                                     self->m_output.clear();
+                                     self->m_output = {};
+                                     self->m_output_body.reset();
                                  }
                              });
 }
--- a/src/serving/server_connection.hpp
+++ b/src/serving/server_connection.hpp
@@ -34,11 +34,13 @@
 std::string_view failure_reason(const call_failure& failure);
 
 struct outgoing_request {
-    // A complete serialized HTTP/1.1 request.
+    // A serialized HTTP/1.1 request, without its body if `body` holds that.
     std::string bytes;
     bool is_head = false;
     // Names the request in log lines.
     std::string name;
+    // Sent after `bytes`; may be null.
+    std::shared_ptr<const std::string> body = {};
 };
 
 // Callbacks of one request. None is called after on_complete or on_failure.
@@ -54,7 +56,8 @@
 public:
     server_connection(boost::asio::io_context& loop, handler_guard& guard, std::string address);
 
-    // Sends the request; connects first if needed.
+    // Sends the request; connects first if needed. Its body is held
+    // until it is written.
     void send(outgoing_request request, answer_callbacks callbacks);
     // Closes the connection without further callbacks; with a reset during a
     // request, so that the peer notices at once.
@@ -62,6 +65,7 @@
 
     // Stops or resumes reading: backpressure from a slow caller to the server.
     void pause_reading(bool paused);
+    [[nodiscard]] bool is_paused() const { return m_paused; }
 
     [[nodiscard]] const std::string& address() const { return m_address; }
     // The connection is open and idle, and no unexpected bytes came on it.
@@ -95,6 +99,7 @@
     std::string m_output;
     std::string m_current_request;
     std::string m_previous_request;
+    std::shared_ptr<const std::string> m_output_body;
     std::array<char, 16'384> m_chunk{};
     answer_parser m_parser;
     answer_callbacks m_callbacks;
--- a/src/serving/service_listener.cpp
+++ b/src/serving/service_listener.cpp
@@ -17,8 +17,8 @@
 
 // A connection that receives nothing for this long is closed.
 constexpr duration max_idle = std::chrono::seconds(30);
-// Requests to these listeners have small bodies or none.
-constexpr request_bounds service_bounds{16'384, 65'536};
+// Requests to these listeners need no body.
+constexpr request_bounds service_bounds{16'384, 4'096};
 
 std::string_view reason_of(int status) {
     switch (status) {
@@ -49,18 +49,22 @@
 
 }  // namespace
 
-std::string answer_bytes(const http_answer& answer, bool close, bool head_only) {
-    const auto reason = answer.head.reason.empty() ? reason_of(answer.head.status) : answer.head.reason;
-    std::string bytes = "HTTP/1.1 " + std::to_string(answer.head.status) + ' ';
+std::string answer_head_bytes(const http_answer_head& head, std::size_t body_bytes, bool close) {
+    const auto reason = head.reason.empty() ? reason_of(head.status) : head.reason;
+    std::string bytes = "HTTP/1.1 " + std::to_string(head.status) + ' ';
     bytes.append(reason).append("\r\n");
-    for (const auto& field : answer.head.fields) {
+    for (const auto& field : head.fields) {
         bytes.append(field.name).append(": ").append(field.value).append("\r\n");
     }
-    bytes.append("Content-Length: ").append(std::to_string(answer.body.size())).append("\r\n");
+    bytes.append("Content-Length: ").append(std::to_string(body_bytes)).append("\r\n");
     if (close) {
         bytes.append("Connection: close\r\n");
     }
-    bytes.append("\r\n");
+    return bytes.append("\r\n");
+}
+
+std::string answer_bytes(const http_answer& answer, bool close, bool head_only) {
+    auto bytes = answer_head_bytes(answer.head, answer.body.size(), close);
     if (!head_only) {
         bytes.append(answer.body);
     }
--- a/src/serving/service_listener.hpp
+++ b/src/serving/service_listener.hpp
@@ -47,5 +47,7 @@
 
 // Serializes an answer with Content-Length.
 std::string answer_bytes(const http_answer& answer, bool close, bool head_only);
+// Serializes the head of an answer whose body has `body_bytes` bytes.
+std::string answer_head_bytes(const http_answer_head& head, std::size_t body_bytes, bool close);
 
 }  // namespace verbenahold::serving
--- a/src/serving/serving_settings.cpp
+++ b/src/serving/serving_settings.cpp
@@ -6,6 +6,7 @@
     current.stop_grace = fresh.stop_grace;
     current.repeats = fresh.repeats;
     current.cold = fresh.cold;
+    current.memory_bytes = fresh.memory_bytes;
     current.max_reservation_hold = fresh.max_reservation_hold;
     current.max_unused_reservation = fresh.max_unused_reservation;
     current.max_locate_lifetime = fresh.max_locate_lifetime;
--- a/src/serving/serving_settings.hpp
+++ b/src/serving/serving_settings.hpp
@@ -6,6 +6,7 @@
 
 #include "verbenahold/types.hpp"
 
+#include <cstdint>
 #include <string>
 #include <variant>
 #include <vector>
@@ -19,6 +20,8 @@
     std::size_t zones = 1;
     // Processor cores of this host, a fraction for a share of one.
     double cores = 1;
+    // Memory that this process may use.
+    std::uint64_t memory_bytes = 256'000'000;
     // IPv4 address of this host.
     std::string ip;
     // Addresses to listen on, "IP:PORT"; an empty one is not opened.
--- a/test/correctness/serving_platform_protocol.cpp
+++ b/test/correctness/serving_platform_protocol.cpp
@@ -290,6 +290,28 @@
     CHECK(current.max_unused_reservation == 6'500ms);
 }
 
+TEST_CASE("the memory that the daemon may use comes from the settings and changes with a reload") {
+    const std::string start = R"({"node":"n","zone":"z","ip":"10.0.0.1","listen":{"front":"10.0.0.1:1",)"
+                              R"("ready":"10.0.0.1:2","directory":"10.0.0.1:3"},"internal-ports":[7340,7355],)"
+                              R"("bounds":{"grace-s":8,"budget-ratio":0.2,"budget-slack":106,"budget-window-s":10,)"
+                              R"("cold-overage":1.5,"cold-slack":5},"provider":{"address":"10.0.0.2:1"},"limits":)";
+    const auto memory_of = [&](const std::string& limits) {
+        const auto read = platform::decode_settings(start + limits + "}");
+        REQUIRE(std::holds_alternative<serving_settings>(read));
+        return std::get<serving_settings>(read).memory_bytes;
+    };
+    CHECK(memory_of(R"({"memory-mb":160})") == 160'000'000);
+    const auto unstated = serving_settings().memory_bytes;
+    CHECK(memory_of("{}") == unstated);
+    CHECK(memory_of(R"({"memory-mb":0})") == unstated);
+    CHECK(memory_of(R"({"memory-mb":-1})") == unstated);
+    serving_settings current;
+    auto fresh = current;
+    fresh.memory_bytes = 512'000'000;
+    CHECK(apply_reload(current, fresh).empty());
+    CHECK(current.memory_bytes == 512'000'000);
+}
+
 // The settings file may change while the daemon runs, with or without a signal.
 TEST_CASE("a reload changes limits, and addresses change only at a restart") {
     serving_settings current;
