Parse HTTP messages without allocating lengths that a peer announces

Cause: Boost.Beast's string body reserves the announced length (std::bad_alloc), its fields throw std::length_error for a value of 64 KiB, which a trailer may reach, and trailers and extensions of chunks of a request had no bound.

--- a/src/serving/answer_parser.cpp
+++ b/src/serving/answer_parser.cpp
@@ -11,10 +11,10 @@
 namespace {
 
 // Limit for the header of an answer; servers send smaller ones.
-constexpr std::uint32_t max_answer_header_bytes = 64 * 1024;
+constexpr std::size_t max_answer_header_bytes = 64UL * 1024;
 // Limit for bytes in a row that add nothing to a body: interim answers, headers,
 // extensions of chunks and trailers, any of which may come without end.
-constexpr std::size_t max_bytes_without_body = 2 * std::size_t{max_answer_header_bytes};
+constexpr std::size_t max_bytes_without_body = 2 * max_answer_header_bytes;
 
 }  // namespace
 
@@ -23,9 +23,7 @@
 }
 
 void answer_parser::make_parser() {
-    m_parser.emplace();
-    m_parser->eager(true);
-    m_parser->header_limit(max_answer_header_bytes);
+    m_parser.emplace(max_answer_header_bytes);
     // Not boost::none: Boost 1.74 takes any length to be over that limit.
     m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
     if (m_head_request) {
@@ -43,31 +41,25 @@
 }
 
 void answer_parser::store_head() {
-    const auto& message = m_parser->get();
-    m_head = {};
-    m_head.status = static_cast<int>(message.result_int());
-    m_head.reason = std::string(message.reason());
-    for (const auto& field : message) {
-        m_head.fields.push_back({std::string(field.name_string()), std::string(field.value())});
-    }
+    m_head = {m_parser->status, std::move(m_parser->reason), std::move(m_parser->fields)};
     m_has_head = true;
 }
 
-answer_parser::progress answer_parser::parse() {
-    while (!m_input.empty()) {
+answer_parser::progress answer_parser::parse(std::string_view& bytes) {
+    while (!bytes.empty()) {
         boost::system::error_code error;
-        const auto body_before = m_parser->get().body().size();
-        const auto used = m_parser->put(boost::asio::buffer(m_input), error);
-        m_input.erase(0, used);
-        m_bytes_without_body = m_parser->get().body().size() > body_before ? 0 : m_bytes_without_body + used;
+        const auto body_before = m_parser->body.size();
+        const auto used = m_parser->put(boost::asio::buffer(bytes.data(), bytes.size()), error);
+        bytes.remove_prefix(used);
+        m_bytes_without_body = m_parser->body.size() > body_before ? 0 : m_bytes_without_body + used;
         if (error && error != http::error::need_more) {
             m_fault = error.message();
             return progress::broken;
         }
         // 1xx answers have no body and precede the final one.
-        const bool is_interim = m_parser->is_header_done() && m_parser->get().result_int() < 200;
+        const bool is_interim = m_parser->is_header_done() && m_parser->status < 200;
         const bool is_final = m_parser->is_done() && !is_interim;
-        if (!is_final && m_bytes_without_body + m_input.size() > max_bytes_without_body) {
+        if (!is_final && m_bytes_without_body + bytes.size() > max_bytes_without_body) {
             m_fault = "too many bytes that are no part of a body";
             return progress::broken;
         }
@@ -89,9 +81,22 @@
 }
 
 answer_parser::progress answer_parser::feed(std::string_view bytes) {
+    if (m_input.empty()) {
+        m_begun = m_begun || !bytes.empty();
+        const auto state = parse(bytes);
+        m_input.assign(bytes);
+        return state;
+    }
     m_input.append(bytes);
-    m_begun = m_begun || !m_input.empty();
-    return parse();
+    m_begun = true;
+    std::string_view rest = m_input;
+    const auto state = parse(rest);
+    m_input.erase(0, m_input.size() - rest.size());
+    if (m_input.empty()) {
+        // Idle connections hold no buffer.
+        m_input = {};
+    }
+    return state;
 }
 
 answer_parser::progress answer_parser::feed_end() {
@@ -109,12 +114,12 @@
 
 std::string answer_parser::take_body() {
     std::string body;
-    body.swap(m_parser->get().body());
+    body.swap(m_parser->body);
     return body;
 }
 
 bool answer_parser::keep_alive() const {
-    return m_parser->is_done() && m_parser->get().keep_alive() && !m_parser->need_eof();
+    return m_parser->is_done() && m_parser->keep_alive();
 }
 
 }  // namespace verbenahold::serving
--- a/src/serving/answer_parser.hpp
+++ b/src/serving/answer_parser.hpp
@@ -2,10 +2,7 @@
 // the end of the connection.
 #pragma once
 
-#include "http_types.hpp"
-
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include "message_parser.hpp"
 
 #include <optional>
 #include <string>
@@ -45,13 +42,13 @@
     [[nodiscard]] const std::string& fault() const { return m_fault; }
 
 private:
-    using parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
-
-    progress parse();
+    // Parses from the front of `bytes` and removes what was used.
+    progress parse(std::string_view& bytes);
     void store_head();
     void make_parser();
 
-    std::optional<parser> m_parser;
+    std::optional<message_parser<false>> m_parser;
+    // Bytes that wait to be parsed.
     std::string m_input;
     http_answer_head m_head;
     std::string m_fault;
--- /dev/null
+++ b/src/serving/message_parser.hpp
@@ -0,0 +1,104 @@
+// Parses one HTTP message into its parts, with strict framing. Memory grows with
+// the bytes that have arrived, never with a length that the peer announces.
+#pragma once
+
+#include "http_types.hpp"
+
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include <algorithm>
+#include <bit>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace verbenahold::serving {
+
+template <bool IsRequest>
+class message_parser : public boost::beast::http::basic_parser<IsRequest> {
+public:
+    // Of a request.
+    std::string method;
+    std::string target;
+    // Of an answer.
+    int status = 0;
+    std::string reason;
+
+    bool is_http_1_0 = false;
+    // Header fields. Trailers are checked and dropped.
+    header_fields fields;
+    // Bytes of the body that were not taken yet.
+    std::string body;
+
+    // Limits the bytes of all field names and values together.
+    explicit message_parser(std::size_t max_field_bytes) : m_max_field_bytes(max_field_bytes) {
+        this->eager(true);
+        this->header_limit(static_cast<std::uint32_t>(max_field_bytes));
+    }
+
+    // The announced length of the body; empty if none was announced.
+    [[nodiscard]] std::optional<std::uint64_t> announced_length() const {
+        const auto length = this->content_length();
+        return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+    }
+
+private:
+    using error_code = boost::beast::error_code;
+    using string_view = boost::beast::string_view;
+
+    void on_request_impl(boost::beast::http::verb, string_view method_text, string_view target_text, int version,
+                         error_code&) override {
+        method.assign(method_text.data(), method_text.size());
+        target.assign(target_text.data(), target_text.size());
+        is_http_1_0 = version < 11;
+    }
+
+    void on_response_impl(int code, string_view reason_text, int version, error_code&) override {
+        status = code;
+        reason.assign(reason_text.data(), reason_text.size());
+        is_http_1_0 = version < 11;
+    }
+
+    void on_field_impl(boost::beast::http::field, string_view name, string_view value, error_code& error) override {
+        m_field_bytes += name.size() + value.size();
+        if (m_field_bytes > m_max_field_bytes) {
+            error = boost::beast::http::error::header_limit;
+        } else if (!this->is_header_done()) {
+            fields.push_back({std::string(name.data(), name.size()), std::string(value.data(), value.size())});
+        }
+    }
+
+    void on_header_impl(error_code&) override {}
+    void on_body_init_impl(boost::optional<std::uint64_t> const&, error_code&) override {}
+
+    std::size_t on_body_impl(string_view bytes, error_code&) override {
+        append(bytes, announced_length());
+        return bytes.size();
+    }
+
+    void on_chunk_header_impl(std::uint64_t, string_view, error_code&) override {}
+
+    std::size_t on_chunk_body_impl(std::uint64_t, string_view bytes, error_code&) override {
+        append(bytes, std::nullopt);
+        return bytes.size();
+    }
+
+    void on_finish_impl(error_code&) override {}
+
+    // The capacity grows to powers of two as bytes arrive, and ends at the announced length.
+    void append(string_view bytes, std::optional<std::uint64_t> announced) {
+        const auto size = body.size() + bytes.size();
+        if (size > body.capacity()) {
+            const auto grown = static_cast<std::uint64_t>(std::bit_ceil(size));
+            body.reserve(std::max<std::uint64_t>(size, std::min(grown, announced.value_or(grown))));
+        }
+        body.append(bytes.data(), bytes.size());
+    }
+
+    std::size_t m_max_field_bytes;
+    std::size_t m_field_bytes = 0;
+};
+
+}  // namespace verbenahold::serving
--- a/src/serving/request_reader.cpp
+++ b/src/serving/request_reader.cpp
@@ -3,7 +3,7 @@
 #include <boost/asio/buffer.hpp>
 
 #include <algorithm>
-#include <iterator>
+#include <utility>
 
 namespace verbenahold::serving {
 
@@ -14,11 +14,10 @@
 }
 
 void request_reader::make_parser() {
-    m_parser.emplace();
-    m_parser->eager(true);
-    m_parser->header_limit(static_cast<std::uint32_t>(m_bounds.max_header_bytes));
+    m_parser.emplace(m_bounds.max_header_bytes);
     m_parser->body_limit(m_bounds.max_body_bytes);
     m_state = progress::incomplete;
+    m_bytes_without_body = 0;
     m_begun = false;
     m_continue_sent = false;
 }
@@ -32,75 +31,100 @@
 }
 
 void request_reader::feed(std::string_view bytes) {
+    if (m_state != progress::incomplete) {
+        m_input.append(bytes);
+        return;
+    }
+    if (m_input.empty()) {
+        m_input.assign(bytes.substr(parse(bytes)));
+        return;
+    }
     m_input.append(bytes);
-    if (m_state == progress::incomplete) {
-        parse();
+    m_input.erase(0, parse(m_input));
+    if (m_input.empty()) {
+        // Idle connections hold no buffer.
+        m_input = {};
     }
 }
 
-void request_reader::parse() {
-    while (!m_input.empty()) {
+std::size_t request_reader::parse(std::string_view bytes) {
+    std::size_t used = 0;
+    while (used < bytes.size()) {
         m_begun = true;
         boost::system::error_code error;
-        const auto used = m_parser->put(boost::asio::buffer(m_input), error);
-        m_input.erase(0, used);
+        const auto body_before = m_parser->body.size();
+        const auto rest = bytes.substr(used);
+        const auto parsed = m_parser->put(boost::asio::buffer(rest.data(), rest.size()), error);
+        used += parsed;
+        m_bytes_without_body = m_parser->body.size() > body_before ? 0 : m_bytes_without_body + parsed;
         if (error && error != http::error::need_more) {
-            m_state = progress::broken;
-            m_fault = error.message();
-            m_fault_status = error == http::error::body_limit ? 413 : error == http::error::header_limit ? 431 : 400;
-            return;
+            reject(error == http::error::body_limit     ? 413
+                   : error == http::error::header_limit ? 431
+                                                        : 400,
+                   error.message());
+            return used;
         }
         if (const auto fault = m_parser->is_header_done() ? framing_fault() : std::string_view(); !fault.empty()) {
-            m_state = progress::broken;
-            m_fault = fault;
-            m_fault_status = 400;
-            return;
+            reject(400, std::string(fault));
+            return used;
         }
         if (m_parser->is_done()) {
             m_state = progress::complete;
-            m_keep_alive = m_parser->get().keep_alive();
-            m_http_1_0 = m_parser->get().version() < 11;
-            return;
+            m_keep_alive = m_parser->keep_alive();
+            m_http_1_0 = m_parser->is_http_1_0;
+            return used;
         }
-        if (error == http::error::need_more || used == 0) {
-            return;
+        // Extensions of chunks and trailers may come without end, as may a header.
+        if (m_bytes_without_body + bytes.size() - used > 2 * m_bounds.max_header_bytes) {
+            reject(431, "too many bytes that are no part of a body");
+            return used;
+        }
+        if (error == http::error::need_more || parsed == 0) {
+            return used;
         }
     }
+    return used;
+}
+
+void request_reader::reject(int status, std::string reason) {
+    m_state = progress::broken;
+    m_fault_status = status;
+    m_fault = std::move(reason);
 }
 
 std::string_view request_reader::framing_fault() const {
-    const auto& message = m_parser->get();
-    const auto lengths = message.count(http::field::content_length);
-    const auto codings = message.equal_range(http::field::transfer_encoding);
-    const auto coding_count = std::distance(codings.first, codings.second);
-    const auto length = message[http::field::content_length];
+    std::size_t lengths = 0;
+    std::size_t codings = 0;
+    std::string_view length;
+    std::string_view coding;
+    for (const auto& field : m_parser->fields) {
+        if (same_field_name(field.name, "Content-Length")) {
+            ++lengths;
+            length = field.value;
+        } else if (same_field_name(field.name, "Transfer-Encoding")) {
+            ++codings;
+            coding = field.value;
+        }
+    }
     const auto is_digit = [](char letter) { return letter >= '0' && letter <= '9'; };
     if (lengths > 1 || !std::all_of(length.begin(), length.end(), is_digit)) {
         return "several lengths, or one that is no number";
     }
-    if (coding_count == 0) {
+    if (codings == 0) {
         return {};
     }
     if (lengths > 0) {
         return "a length and a transfer coding";
     }
-    const auto coding = codings.first->value();
-    const bool chunked = same_field_name({coding.data(), coding.size()}, "chunked");
-    if (coding_count > 1 || !chunked || message.version() < 11) {
+    if (codings > 1 || !same_field_name(coding, "chunked") || m_parser->is_http_1_0) {
         return "a transfer coding other than chunked";
     }
     return {};
 }
 
 http_request request_reader::take_request() {
-    auto& message = m_parser->get();
-    http_request request;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
-    for (const auto& field : message) {
-        request.fields.push_back({std::string(field.name_string()), std::string(field.value())});
-    }
-    request.body = std::move(message.body());
+    http_request request{std::move(m_parser->method), std::move(m_parser->target), std::move(m_parser->fields),
+                         std::move(m_parser->body)};
     make_parser();
     return request;
 }
@@ -109,9 +133,7 @@
     if (m_continue_sent || m_state != progress::incomplete || !header_done()) {
         return false;
     }
-    if (!same_field_name(
-            std::string_view(m_parser->get()[http::field::expect].data(), m_parser->get()[http::field::expect].size()),
-            "100-continue")) {
+    if (!same_field_name(field_value(m_parser->fields, "Expect"), "100-continue")) {
         return false;
     }
     m_continue_sent = true;
--- a/src/serving/request_reader.hpp
+++ b/src/serving/request_reader.hpp
@@ -3,10 +3,7 @@
 // length and a transfer coding, or with any transfer coding but "chunked".
 #pragma once
 
-#include "http_types.hpp"
-
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include "message_parser.hpp"
 
 #include <optional>
 #include <string>
@@ -45,7 +42,9 @@
 
     // A request has begun and is not complete.
     [[nodiscard]] bool has_begun() const { return m_state == progress::incomplete && m_begun; }
-    [[nodiscard]] bool header_done() const { return m_parser && m_parser->is_header_done(); }
+    [[nodiscard]] bool header_done() const { return m_parser->is_header_done(); }
+    // Memory that holds the current request's body and the bytes that follow it.
+    [[nodiscard]] std::size_t held_bytes() const { return m_parser->body.capacity() + m_input.capacity(); }
     // Returns true once if the caller sent "Expect: 100-continue" and waits
     // before it sends the body.
     bool take_expects_continue();
@@ -53,16 +52,19 @@
     [[nodiscard]] std::size_t waiting_bytes() const { return m_input.size(); }
 
 private:
-    using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
-
     void make_parser();
-    void parse();
+    // Returns the number of bytes that were used.
+    std::size_t parse(std::string_view bytes);
+    void reject(int status, std::string reason);
     // Why the end of a request with this header is ambiguous; empty if it is not.
     [[nodiscard]] std::string_view framing_fault() const;
 
     request_bounds m_bounds;
-    std::optional<parser> m_parser;
+    std::optional<message_parser<true>> m_parser;
+    // Bytes that wait to be parsed.
     std::string m_input;
+    // Bytes in a row that added nothing to a body.
+    std::size_t m_bytes_without_body = 0;
     progress m_state = progress::incomplete;
     std::string m_fault;
     int m_fault_status = 400;
--- /dev/null
+++ b/test/error/serving_memory.cpp
@@ -0,0 +1,88 @@
+// Tests peers that announce or send more bytes than a daemon can hold. Guards against
+// lengths that are allocated and messages whose head or trailer never ends.
+#include "answer_parser.hpp"
+#include "request_reader.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace verbenahold::serving;
+
+namespace {
+
+constexpr const char* huge_length = "Content-Length: 1000000000000000000\r\n";
+
+}  // namespace
+
+TEST_CASE("an announced length is never allocated") {
+    answer_parser answer;
+    answer.restart(false);
+    CHECK(answer.feed(std::string("HTTP/1.1 200 OK\r\n") + huge_length + "\r\nfirst bytes") ==
+          answer_parser::progress::incomplete);
+    CHECK(answer.take_body() == "first bytes");
+    request_reader request({16'384, 1'000'000'000'000'000'000U});
+    request.feed(std::string("POST / HTTP/1.1\r\n") + huge_length + "\r\nfirst bytes");
+    CHECK(request.state() == request_reader::progress::incomplete);
+    CHECK(request.held_bytes() < 1'000);
+}
+
+TEST_CASE("trailers and extensions of chunks beyond the limit break the message and end nothing else") {
+    const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+    const std::vector<std::string> ends{"0\r\nName: " + std::string(70'000, 'x') + "\r\n\r\n",
+                                        "0;" + std::string(70'000, 'x') + "\r\n\r\n",
+                                        "5;name=" + std::string(70'000, 'x') + "\r\nhello\r\n0\r\n\r\n"};
+    for (const auto& end : ends) {
+        for (const std::size_t cut : {4'096UL, 200'000UL}) {
+            const std::string request = "POST / HTTP/1.1\r\n" + chunked + end;
+            const std::string answer = "HTTP/1.1 200 OK\r\n" + chunked + end + end;
+            request_reader reader({16'384, 4'194'304});
+            for (std::size_t begin = 0; begin < request.size(); begin += cut) {
+                reader.feed(std::string_view(request).substr(begin, cut));
+            }
+            CHECK(reader.state() != request_reader::progress::incomplete);
+            // An extension that arrives in one piece with its chunk is dropped at once.
+            CHECK(
+                (reader.state() == request_reader::progress::broken || (cut > request.size() && &end != ends.data())));
+            answer_parser parser;
+            parser.restart(false);
+            for (std::size_t begin = 0; begin < answer.size(); begin += cut) {
+                if (parser.feed(std::string_view(answer).substr(begin, cut)) != answer_parser::progress::incomplete) {
+                    break;
+                }
+            }
+        }
+    }
+}
+
+TEST_CASE("a trailer is not taken for a header field") {
+    request_reader reader({16'384, 4'194'304});
+    reader.feed("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nLate: yes\r\n\r\n");
+    REQUIRE(reader.state() == request_reader::progress::complete);
+    const auto request = reader.take_request();
+    CHECK(request.body == "a");
+    CHECK(field_value(request.fields, "Late").empty());
+}
+
+TEST_CASE("a request whose head never ends is given up, however its bytes are cut") {
+    for (const std::string repeated : {"Name: value\r\n", "x"}) {
+        request_reader reader({16'384, 4'194'304});
+        reader.feed(repeated == "x" ? "GET /" : "GET / HTTP/1.1\r\n");
+        std::size_t fed = 0;
+        while (reader.state() == request_reader::progress::incomplete && fed < 65'536) {
+            reader.feed(repeated);
+            fed += repeated.size();
+        }
+        CHECK(reader.state() == request_reader::progress::broken);
+        CHECK(reader.fault_status() == 431);
+    }
+}
+
+TEST_CASE("a reader holds no buffer once its requests are taken") {
+    request_reader reader({16'384, 4'194'304});
+    reader.feed("POST / HTTP/1.1\r\nContent-Length: 1000000\r\n\r\n");
+    reader.feed(std::string(1'000'000, 'x') + "GET / HTTP/1.1\r\n\r\n");
+    REQUIRE(reader.state() == request_reader::progress::complete);
+    CHECK(reader.take_request().body.size() == 1'000'000);
+    reader.feed({});
+    reader.take_request();
+    CHECK(reader.held_bytes() < 1'000);
+}
