Bound the answers to a daemon's own calls, and fail announced lengths that are never taken

Callers' requests had a bound on the answer's body; the daemon's own calls (reports and orders of servers, rows of the store and of other daemons) had none, so that one server could fill the host's memory through its reports. Packed rows of another daemon begin with their unpacked length, which qUncompress allocates before it has read anything; and packed answers were kept for every pair of versions that anybody asked with.

A call now states how long an answer it takes: 256 KiB for reports and orders, 16 MiB for rows. Packed rows are unpacked if their announced length can be true, up to 64 MiB. At most 64 packed answers are kept. A request's answer that announces more than the 16 MiB that are ever taken is failed at its head, with 502 at once in place of a wait until the time limit.

--- a/src/serving/answer_parser.cpp
+++ b/src/serving/answer_parser.cpp
@@ -41,7 +41,7 @@
 }
 
 void answer_parser::store_head() {
-    m_head = {m_parser->status, std::move(m_parser->reason), std::move(m_parser->fields)};
+    m_head = {m_parser->status, std::move(m_parser->reason), std::move(m_parser->fields), m_parser->announced_length()};
     m_has_head = true;
 }
 
--- a/src/serving/exchange_attempts.cpp
+++ b/src/serving/exchange_attempts.cpp
@@ -232,6 +232,11 @@
     const bool success = head.status >= 200 && head.status < 300;
     m_attempt->streams =
         success && decoded.proved && !decoded.not_executed && m_route->form == answer_form::event_stream;
+    const bool has_body = m_request.request.method != "HEAD";
+    if (!m_attempt->streams && has_body && head.announced_length.value_or(0) > max_answer_bytes) {
+        handle_outcome(attempt_outcome_unknown{}, "the announced length of the answer is too large");
+        return false;
+    }
     return true;
 }
 
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -5,6 +5,7 @@
 #include "serving.pb.h"
 
 #include <QByteArray>
+#include <QtEndian>
 
 #include <algorithm>
 #include <array>
@@ -69,6 +70,26 @@
 // and a desired state shrinks to a tenth at any level.
 constexpr int compression_level = 2;
 
+// Longest rows of both tables that are taken from another daemon, unpacked, in bytes.
+constexpr std::size_t max_unpacked_bytes = 64UL * 1024 * 1024;
+// Deflate expands no input by more.
+constexpr std::size_t max_expansion = 1'032;
+// Answers to other daemons that are kept for the present versions of the tables.
+constexpr std::size_t max_kept_answers = 64;
+
+// Empty if the bytes can't be unpacked. They begin with the unpacked length, which
+// qUncompress allocates before it has read anything else.
+QByteArray unpack(const QByteArray& packed) {
+    if (packed.size() < static_cast<qsizetype>(sizeof(quint32))) {
+        return {};
+    }
+    const std::size_t announced = qFromBigEndian<quint32>(packed.constData());
+    if (announced > std::min(max_unpacked_bytes, max_expansion * static_cast<std::size_t>(packed.size()))) {
+        return {};
+    }
+    return qUncompress(packed);
+}
+
 table_changes changes_of(const wire::StateChanges& message, store_table table) {
     const bool operators = table == store_table::operator_rows;
     table_changes changes;
@@ -371,10 +392,10 @@
                                {},
                                {}};
     m_state.calls.call(
-        peer.peer_address, request, peer_call_timeout, [this, name = peer.name](const call_result& result) {
+        peer.peer_address, request, {peer_call_timeout, max_rows_bytes},
+        [this, name = peer.name](const call_result& result) {
             m_fetching_changes = false;
-            const auto unpacked =
-                result.answer ? qUncompress(QByteArray::fromStdString(result.answer->body)) : QByteArray();
+            const auto unpacked = result.answer ? unpack(QByteArray::fromStdString(result.answer->body)) : QByteArray();
             wire::StateChanges changes;
             if (unpacked.isEmpty() || !changes.ParseFromArray(unpacked.data(), static_cast<int>(unpacked.size()))) {
                 log_line("no rows from daemon").add("daemon", name).add("reason", result.failure).warn();
@@ -397,6 +418,9 @@
         m_compressed_changes.clear();
         m_compressed_versions = {m_operator_rows.version(), m_server_rows.version()};
     }
+    if (m_compressed_changes.size() >= max_kept_answers) {
+        m_compressed_changes.clear();
+    }
     // After a change most daemons ask with the same versions, so the compressed
     // answer is cached.
     auto& packed = m_compressed_changes[request.target];
--- a/src/serving/http_client.cpp
+++ b/src/serving/http_client.cpp
@@ -47,24 +47,35 @@
     }
 }
 
-void http_client::call(const std::string& address, const http_request& request, duration time_limit, callback done,
-                       connection_choice choice) {
+void http_client::call(const std::string& address, const http_request& request, const call_limits& limits,
+                       callback done, connection_choice choice) {
     const auto open = std::make_shared<open_call>();
     open->connection =
         choice == connection_choice::fresh ? m_pool.open(address) : m_pool.take(address, default_max_idle_time);
     std::erase_if(m_open, [](const auto& connection) { return connection.expired(); });
     m_open.push_back(open->connection);
     open->done = std::move(done);
-    open->limit = m_timers.after(time_limit, [this, open] {
+    open->limit = m_timers.after(limits.time, [this, open] {
         open->connection->close();
         open->end(m_timers, {std::nullopt, "no answer within the time limit"});
     });
     answer_callbacks callbacks;
-    callbacks.on_head = [open](const http_answer_head& head) {
+    const auto give_up_if_longer = [this, open, most = limits.answer_bytes](std::uint64_t bytes) {
+        if (bytes > most) {
+            open->connection->close();
+            open->end(m_timers, {std::nullopt, "the answer is too large"});
+        }
+        return bytes > most;
+    };
+    callbacks.on_head = [open, give_up_if_longer](const http_answer_head& head) {
         open->answer.head = head;
-        return true;
+        return !give_up_if_longer(head.announced_length.value_or(0));
+    };
+    callbacks.on_body = [open, give_up_if_longer](const std::string& body) {
+        if (!give_up_if_longer(open->answer.body.size() + body.size())) {
+            open->answer.body += body;
+        }
     };
-    callbacks.on_body = [open](const std::string& body) { open->answer.body += body; };
     callbacks.on_complete = [this, open] {
         m_pool.put_back(open->connection);
         open->end(m_timers, {open->answer, {}});
--- a/src/serving/http_client.hpp
+++ b/src/serving/http_client.hpp
@@ -21,6 +21,18 @@
 // Content-Length for methods or requests with a body.
 std::string request_bytes(const http_request& request, std::string_view host);
 
+// Bounds of one call.
+struct call_limits {
+    duration time{};
+    // Bytes of the answer's body; a call with a longer one fails.
+    std::size_t answer_bytes = 0;
+};
+
+// For calls that are answered with reports or short texts, and for those that are answered
+// with rows of tables.
+inline constexpr std::size_t max_report_bytes = 256UL * 1024;
+inline constexpr std::size_t max_rows_bytes = 16UL * 1024 * 1024;
+
 // Which connection a call uses. On a new one, no late answer to an earlier call can be taken
 // for the answer to this one.
 enum class connection_choice { kept, fresh };
@@ -31,8 +43,8 @@
 
     http_client(boost::asio::io_context& loop, loop_timers& timers) : m_pool(loop, timers), m_timers(timers) {}
 
-    // Calls `done` once, with the answer or a failure, within `time_limit`.
-    void call(const std::string& address, const http_request& request, duration time_limit, callback done,
+    // Calls `done` once, with the answer or a failure, within the time of `limits`.
+    void call(const std::string& address, const http_request& request, const call_limits& limits, callback done,
               connection_choice choice = connection_choice::kept);
     // Closes the connections of all open calls without calling `done`.
     void abandon_all();
--- a/src/serving/http_types.hpp
+++ b/src/serving/http_types.hpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -45,6 +47,9 @@
     int status = 0;
     std::string reason;
     header_fields fields;
+    // Length of the body in bytes as the peer announces it; empty if it announces none, or
+    // if the body comes in chunks.
+    std::optional<std::uint64_t> announced_length = std::nullopt;
 };
 
 struct http_answer {
--- a/src/serving/memory_reservation.cpp
+++ b/src/serving/memory_reservation.cpp
@@ -143,7 +143,7 @@
 // turn, since one may be out of reach.
 void memory_reservation::ask_holder() {
     const auto& which = *m_parts[m_times_asked++ % m_parts.size()];
-    m_state.calls.call(which.address(), m_state.wire.ask_load(), state_call_timeout,
+    m_state.calls.call(which.address(), m_state.wire.ask_load(), {state_call_timeout, max_report_bytes},
                        [weak = weak_from_this(), name = which.name()](const call_result& result) {
                            const auto self = weak.lock();
                            if (!self || self->m_released || !result.answer) {
--- a/src/serving/presence.cpp
+++ b/src/serving/presence.cpp
@@ -63,11 +63,12 @@
     // Other daemons remove this one from their directory answers at once.
     m_peers.send_status();
     const auto request = m_state.wire.remove_row(store_table::daemon_rows, m_state.settings.host.value);
-    m_state.calls.call(m_state.settings.store_address, request, store_call_limit, [](const call_result& result) {
-        if (!result.answer) {
-            log_line("own row not removed").add("reason", result.failure).warn();
-        }
-    });
+    m_state.calls.call(m_state.settings.store_address, request, {store_call_limit, max_rows_bytes},
+                       [](const call_result& result) {
+                           if (!result.answer) {
+                               log_line("own row not removed").add("reason", result.failure).warn();
+                           }
+                       });
 }
 
 void presence::describe(daemon_status& status) const {
@@ -90,13 +91,14 @@
     const auto& settings = m_state.settings;
     const daemon_record own{settings.host.value, settings.peer_address, settings.zone, settings.cores};
     const auto request = m_state.wire.write_row(store_table::daemon_rows, own.name, encode_daemon_record(own));
-    m_state.calls.call(settings.store_address, request, store_call_limit, [this](const call_result& result) {
-        if (m_state.stop.has_begun() || (result.answer && result.answer->head.status == 200)) {
-            return;
-        }
-        log_line("own row not written").add("reason", result.failure).warn();
-        m_state.timers.after(announce_retry_delay, [this] { write_own_row(); });
-    });
+    m_state.calls.call(settings.store_address, request, {store_call_limit, max_rows_bytes},
+                       [this](const call_result& result) {
+                           if (m_state.stop.has_begun() || (result.answer && result.answer->head.status == 200)) {
+                               return;
+                           }
+                           log_line("own row not written").add("reason", result.failure).warn();
+                           m_state.timers.after(announce_retry_delay, [this] { write_own_row(); });
+                       });
 }
 
 void presence::list_again_if_active() {
@@ -107,11 +109,12 @@
 
 void presence::list_daemons(const std::string& first_key) {
     const auto request = m_state.wire.list_rows(store_table::daemon_rows, first_key);
-    m_state.calls.call(m_state.settings.store_address, request, store_call_limit, [this](const call_result& result) {
-        m_state.guard.run(
-            {"table", "daemons"}, [&] { on_listing(result); },
-            [&] { on_listing_failed("the answer can't be handled"); });
-    });
+    m_state.calls.call(m_state.settings.store_address, request, {store_call_limit, max_rows_bytes},
+                       [this](const call_result& result) {
+                           m_state.guard.run(
+                               {"table", "daemons"}, [&] { on_listing(result); },
+                               [&] { on_listing_failed("the answer can't be handled"); });
+                       });
 }
 
 void presence::on_listing(const call_result& result) {
--- a/src/serving/report_poller.cpp
+++ b/src/serving/report_poller.cpp
@@ -57,7 +57,7 @@
 }
 
 void report_poller::poll(const server_entry& server) {
-    m_state.calls.call(server.address, m_state.wire.ask_load(), poll_timeout,
+    m_state.calls.call(server.address, m_state.wire.ask_load(), {poll_timeout, max_report_bytes},
                        [this, id = server.id](const call_result& result) { on_answer(id, result); });
 }
 
--- a/src/serving/reserved_part.cpp
+++ b/src/serving/reserved_part.cpp
@@ -18,7 +18,7 @@
     // Requests are sent on the strength of the first answer alone, not of a renewal's.
     const auto choice = std::exchange(m_ordered, true) ? connection_choice::kept : connection_choice::fresh;
     m_state.calls.call(
-        m_address, m_state.wire.reserve_memory(m_name, m_tokens, hold), reservation_call_timeout,
+        m_address, m_state.wire.reserve_memory(m_name, m_tokens, hold), {reservation_call_timeout, max_report_bytes},
         [self = shared_from_this(), done = std::move(done)](const call_result& result) {
             self->on_reserve_answer(result);
             done(result.answer && result.answer->head.status == 200);
@@ -51,7 +51,7 @@
 }
 
 void reserved_part::send_release() {
-    m_state.calls.call(m_address, m_state.wire.release_memory(m_name), reservation_call_timeout,
+    m_state.calls.call(m_address, m_state.wire.release_memory(m_name), {reservation_call_timeout, max_report_bytes},
                        [self = shared_from_this()](const call_result& result) {
                            if (!result.answer) {
                                // The reservation expires without renewal.
--- a/src/serving/table_follower.cpp
+++ b/src/serving/table_follower.cpp
@@ -67,13 +67,14 @@
 
 void table_follower::call(const http_request& request, duration limit, std::function<void(const store_page&)> done) {
     m_calling = true;
-    m_calls.call(m_store_address, request, limit, [this, done = std::move(done)](const call_result& result) {
-        m_calling = false;
-        // The next call follows also if this answer can't be handled.
-        m_timers.guard().run(
-            {"table", table_label(m_table)}, [&] { on_answer(result, done); },
-            [&] { on_failure("the answer can't be handled"); });
-    });
+    m_calls.call(m_store_address, request, {limit, max_rows_bytes},
+                 [this, done = std::move(done)](const call_result& result) {
+                     m_calling = false;
+                     // The next call follows also if this answer can't be handled.
+                     m_timers.guard().run(
+                         {"table", table_label(m_table)}, [&] { on_answer(result, done); },
+                         [&] { on_failure("the answer can't be handled"); });
+                 });
 }
 
 void table_follower::on_answer(const call_result& result, const std::function<void(const store_page&)>& done) {
