Answer requests that have arrived in part at the end of a planned stop

A request whose body was still on its way when the grace of a stop ended was cut with its connection, without an answer, although it was known not to run. It now gets 503 with a Retry-After and the connection closes.

A connection whose reading was paused by pipelined requests had no owner between the answer of one request and the start of the next.

--- a/src/serving/front_session.cpp
+++ b/src/serving/front_session.cpp
@@ -309,10 +309,9 @@
     start_timeout(limits().idle_timeout);
     // The next request may already be buffered. It is started by a timer, since
     // the ending exchange is still on the call stack here.
-    m_state.timers.after(duration::zero(), [weak = weak_from_this()] {
-        if (const auto session = weak.lock()) {
-            session->contained([&] { session->start_next_request(); });
-        }
+    // Nothing else keeps this object while the reading of pipelined requests is paused.
+    m_state.timers.after(duration::zero(), [session = shared_from_this()] {
+        session->contained([&] { session->start_next_request(); });
     });
 }
 
@@ -409,6 +408,11 @@
 void front_session::answer_for_stop() {
     if (m_exchange) {
         m_exchange->on_stop();
+    } else if (m_reader.has_begun() && !m_closing) {
+        // The rest of the request would come too late.
+        m_keep = false;
+        write(answer_bytes({{503, {}, m_state.wire.own_answer_fields({}, retry_after_rejection)}, {}}, true, false));
+        close_gracefully();
     }
     close_if_idle();
 }
--- a/src/serving/front_session.hpp
+++ b/src/serving/front_session.hpp
@@ -26,7 +26,8 @@
     void abandon(early_end cause);
     // Closes the connection if it has no current request and nothing to write.
     void close_if_idle();
-    // Answers the current request, since the process exits soon.
+    // Answers the current request, or the one that has arrived in part, since the process
+    // exits soon.
     void answer_for_stop();
     [[nodiscard]] bool is_idle() const {
         return !m_exchange && !has_unanswered_input() && m_reader.waiting_bytes() == 0;
--- a/test/error/serving_stop.cpp
+++ b/test/error/serving_stop.cpp
@@ -128,6 +128,47 @@
     CHECK_FALSE(caller.was_reset());
 }
 
+TEST_CASE("requests that are pipelined beyond what is buffered are all answered") {
+    const bool stops = GENERATE(false, true);
+    CAPTURE(stops);
+    stopping_daemon daemon;
+    auto& rig = daemon.rig;
+    std::string requests;
+    for (const std::string id : {"a-1", "a-2", "a-3"}) {
+        requests += request_text("POST", "/unsafe/x", id, std::string(60'000, 'x'));
+    }
+    auto& caller = rig.call("host-1", requests);
+    REQUIRE(rig.run_until([&] { return daemon.open.size() == 1; }));
+    rig.run_for(100ms);
+    if (stops) {
+        rig.stop_daemons();
+        rig.run_for(100ms);
+    }
+    for (std::size_t next = 0; next < 3; ++next) {
+        if (!rig.run_until([&] { return daemon.open.size() > next || caller.ended(); }) || caller.ended()) {
+            break;
+        }
+        daemon.open[next].second->write(proved_answer(daemon.open[next].first, "fine"));
+    }
+    REQUIRE(rig.run_until([&] { return answers_in(caller, "200") == 3 || caller.ended(); }));
+    // A stop may close the connection before requests that were not read whole.
+    CHECK(answers_in(caller, "200") >= (stops ? 2 : 3));
+    CHECK(daemon.open.size() == static_cast<std::size_t>(answers_in(caller, "200")));
+}
+
+TEST_CASE("a request of which a part has arrived at the end of a planned stop is told that it has not run") {
+    stopping_daemon daemon;
+    auto& rig = daemon.rig;
+    const auto request = request_text("POST", "/unsafe/x", "a-1", "body");
+    auto& caller = rig.call("host-1", request.substr(0, request.size() - 2));
+    rig.run_for(100ms);
+    rig.stop_daemons();
+    REQUIRE(rig.run_until([&] { return caller.ended(); }));
+    CHECK(answers_in(caller, "503") == 1);
+    CHECK(caller.received().find("Connection: close") != std::string::npos);
+    CHECK(daemon.open.empty());
+}
+
 TEST_CASE("late in a planned stop a request that could be cut at the exit is refused and not forwarded") {
     stopping_daemon daemon;
     auto& rig = daemon.rig;
--- a/test/rig/serving_rig.cpp
+++ b/test/rig/serving_rig.cpp
@@ -233,7 +233,7 @@
     settings.max_unused_reservation = max_unused_reservation;
     // Daemons find each other through the store.
     store.put("daemons", name, encode_daemon_record({name, settings.peer_address, settings.zone, settings.cores}));
-    started_daemon.running = std::make_unique<gateway>(*started_daemon.loop, settings, *protocol, rig_start_us);
+    started_daemon.running = std::make_unique<gateway>(*started_daemon.loop, settings, *protocol, rig_start_us, read_again);
     std::string fault;
     if (!started_daemon.running->start(fault)) {
         throw std::runtime_error(fault);
--- a/test/rig/serving_rig.hpp
+++ b/test/rig/serving_rig.hpp
@@ -126,6 +126,8 @@
     duration stop_grace = std::chrono::seconds(8);
     // Longest time that memory may be reserved unused.
     duration max_unused_reservation = std::chrono::seconds(9);
+    // What daemons that start from now on read when they reload; empty: they don't reload.
+    std::function<settings_reading()> read_again;
     // Sends SIGTERM to this process, which begins a planned stop of all daemons.
     void stop_daemons();
     // The daemon's planned stop has ended.
