Tell missing, empty and unreadable lists and amounts apart

- A limit of a desired state with the wrong type became 0, so that each request with a body got 413; its fault was recorded in a copy and lost.
Now the state is unreadable and the one before stays in force.
The same for keys that are no text and for amounts that no integer holds.
- A ticket of a server's report whose id or state can't be read counted as "the reservation is absent" or "unused", for which memory in use is released.
Now the report says nothing of it.
- A page of a table without rows that announces more replaced the table with what had come so far.
Now it is malformed and asked for again.
- A limit in another daemon's datagram that is no amount became 0, the strictest limit.
A status without a name or an address became a daemon that divides the budgets, and one without a front address went to callers.
Both are ignored; rows of daemons without an address too.
- Settings whose zones are no object counted as one zone.
Now they are refused.

A request that waits for a server was forwarded by the state in which it came, however long ago. One that no server may have run is now handled by the state in force when it is placed again, so that a removed key, account or route ends it with 401 or 404 at once.

--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -47,9 +47,10 @@
     });
 }
 
-bool exchange::admit() {
+bool exchange::resolve() {
     m_routes = m_state.routes;
-    m_state.counters.add("requests_received");
+    m_service = nullptr;
+    m_account = nullptr;
     if (!m_routes) {
         fail(503, "no desired state is known yet", retry_after_startup);
         return false;
@@ -73,6 +74,16 @@
         fail(503, "the route has no service", retry_after_startup);
         return false;
     }
+    m_traits = traits();
+    m_state.repeats.on_request(m_service->name, m_state.timers.now());
+    return true;
+}
+
+bool exchange::admit() {
+    m_state.counters.add("requests_received");
+    if (!resolve()) {
+        return false;
+    }
     const auto allowed = std::min(m_route->timeout, m_request.time_limit.value_or(m_route->timeout));
     m_deadline = m_received_at + allowed;
     if (time_left() <= deadline_margin) {
@@ -84,8 +95,6 @@
         return false;
     }
     m_last_event = m_request.last_event_id;
-    m_traits = traits();
-    m_state.repeats.on_request(m_service->name, m_state.timers.now());
     m_deadline_timer = m_state.timers.after(std::max(duration::zero(), time_left() - deadline_margin),
                                             [this] { contained([this] { on_deadline(); }); });
     return true;
@@ -132,6 +141,14 @@
     begin_attempt(std::get<placement>(result));
 }
 
+void exchange::place_again() {
+    const bool is_untouched = m_history.may_have_run == 0 && !m_history.answer_begun;
+    if (is_untouched && m_routes != m_state.routes && !resolve()) {
+        return;
+    }
+    place();
+}
+
 placement_result exchange::choose_servers() {
     const auto now = m_state.timers.now();
     placement_request wanted;
@@ -201,7 +218,7 @@
     if (const auto* again = std::get_if<retry_placement>(&decision)) {
         m_wait_timer = m_state.timers.after(again->after, [self = shared_from_this()] {
             if (!self->m_ended) {
-                self->contained([&] { self->place(); });
+                self->contained([&] { self->place_again(); });
             }
         });
     } else {
--- a/src/serving/exchange.hpp
+++ b/src/serving/exchange.hpp
@@ -96,11 +96,17 @@
     // Matches route, account and service. Returns false if the request was already
     // answered with an error.
     bool admit();
+    // Finds the request's route, account and service in the desired state. False if the
+    // request was answered instead.
+    bool resolve();
     [[nodiscard]] std::vector<request_trait> traits() const;
     [[nodiscard]] bool crashes_servers() const;
     // Chooses servers among those that were not tried yet.
     [[nodiscard]] placement_result choose_servers();
     void place();
+    // Goes on with a request that has waited. One that no server may have run is handled as
+    // the desired state that is now in force says.
+    void place_again();
     void wait_for_server(const no_placement& reason);
     void begin_attempt(const placement& chosen);
     void reserve_memory();
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -49,6 +49,7 @@
     "refusals_unstated",
     "server_reports",
     "datagrams_ignored",
+    "statuses_ignored",
     "datagrams_unsent",
     "reservations_made",
     "reservations_given_up",
--- a/src/serving/peer_link.cpp
+++ b/src/serving/peer_link.cpp
@@ -1,8 +1,11 @@
 #include "peer_link.hpp"
 
 #include "log_line.hpp"
+#include "server_connection.hpp"
 #include "serving.pb.h"
 
+#include <cmath>
+
 namespace verbenahold::serving {
 
 namespace {
@@ -66,11 +69,18 @@
     return {message.traits().begin(), message.traits().end()};
 }
 
+// The statement names a server, and a limit in it is an amount. One that isn't says neither
+// what the limit is nor that there is none.
+bool is_readable(const wire::LimitStatement& message) {
+    const double amount = message.requests_per_second();
+    return !message.server().empty() && std::isfinite(amount) && amount >= 0;
+}
+
 limit_statement statement_of(const wire::LimitStatement& message, time_point now) {
     limit_statement statement{server_name(message.server()), std::nullopt,
                               now - std::chrono::milliseconds(message.age_ms())};
     if (message.has_requests_per_second()) {
-        statement.requests_per_second = usable_amount(message.requests_per_second());
+        statement.requests_per_second = message.requests_per_second();
     }
     return statement;
 }
@@ -218,7 +228,9 @@
     }
     handle_crash_knowledge(datagram, now);
     for (const auto& limit : datagram.limits()) {
-        m_state.statements.limits().on_statement(statement_of(limit, now), now);
+        if (is_readable(limit)) {
+            m_state.statements.limits().on_statement(statement_of(limit, now), now);
+        }
     }
     for (const auto& leaving : datagram.leaving()) {
         m_state.statements.on_leaving({server_name(leaving.server()), leaving.started_at_unix_ms()}, now);
@@ -249,6 +261,10 @@
     if (status.name == m_state.settings.host.value) {
         return;
     }
+    if (status.name.empty() || endpoint_of(status.peer_address).port() == 0) {
+        m_state.counters.add("statuses_ignored");
+        return;
+    }
     const bool is_new =
         is_relayed ? m_state.daemons.on_relayed_status(status, heard_at) : m_state.daemons.on_status(status, heard_at);
     if (is_new) {
--- a/src/serving/presence.cpp
+++ b/src/serving/presence.cpp
@@ -1,6 +1,7 @@
 #include "presence.hpp"
 
 #include "log_line.hpp"
+#include "server_connection.hpp"
 #include "table_follower.hpp"
 
 #include <algorithm>
@@ -129,9 +130,15 @@
         return;
     }
     for (const auto& row : listed->rows) {
-        if (row.key != m_state.settings.host.value) {
-            m_state.daemons.on_record(decode_daemon_record(row.key, row.value));
+        if (row.key == m_state.settings.host.value) {
+            continue;
         }
+        const auto record = decode_daemon_record(row.key, row.value);
+        if (endpoint_of(record.peer_address).port() == 0) {
+            log_line("daemon row unusable").add("daemon", row.key).add("version", row.version).warn();
+            continue;
+        }
+        m_state.daemons.on_record(record);
     }
     log_line("daemons listed").add("rows", listed->rows.size()).add("version", listed->version).info();
     if (listed->has_more && !listed->rows.empty()) {
@@ -208,7 +215,7 @@
     std::vector<std::string> active;
     std::vector<std::string> all;
     const auto add = [&](const daemon_status& status) {
-        if (!status.accepting) {
+        if (!status.accepting || status.front_address.empty()) {
             return;
         }
         all.push_back(status.front_address);
--- a/test/correctness/serving_platform_protocol.cpp
+++ b/test/correctness/serving_platform_protocol.cpp
@@ -182,6 +182,43 @@
     CHECK_FALSE(decode("")->requires_keys);
 }
 
+TEST_CASE("limits that are absent, empty or in part have defaults, and unreadable ones are a fault") {
+    const auto decode = [](const std::string& limits) {
+        return platform::decode_desired_state(config_row(R"({"version":1,"routes":[],"services":[])" + limits + "}"));
+    };
+    const caller_limits usual;
+    for (const std::string text : {"", R"(,"limits":{})", R"(,"limits":{"idle-timeout-ms":9000})"}) {
+        CAPTURE(text);
+        REQUIRE(decode(text));
+        CHECK(decode(text)->limits.max_body_bytes == usual.max_body_bytes);
+        CHECK(decode(text)->limits.max_header_bytes == usual.max_header_bytes);
+    }
+    CHECK(decode(R"(,"limits":{"max-body-bytes":0})")->limits.max_body_bytes == 0);
+    for (const std::string value : {R"("4 MB")", "-1", "null", "[]", "1e300", "0.5"}) {
+        CAPTURE(value);
+        CHECK_FALSE(decode(R"(,"limits":{"max-body-bytes":)" + value + "}"));
+        CHECK_FALSE(decode(R"(,"limits":{"max-header-bytes":)" + value + "}"));
+    }
+    CHECK_FALSE(decode(R"(,"limits":null)"));
+}
+
+TEST_CASE("lists of a desired state that are unreadable are a fault, and empty ones are not") {
+    const auto decode = [](const std::string& text) {
+        return platform::decode_desired_state(config_row(R"({"version":1,)" + text + "}"));
+    };
+    CHECK(decode(R"("routes":[],"services":[],"tenants":[])"));
+    for (const std::string text :
+         {R"("services":[])", R"("routes":[])", R"("routes":null,"services":[])", R"("routes":[],"services":{})",
+          R"("routes":[],"services":[],"tenants":null)", R"("routes":[],"services":[],"tenants":{})",
+          R"("routes":[],"services":[],"tenants":[{"name":"first"}])",
+          R"("routes":[],"services":[],"tenants":[{"name":"first","api-keys":null}])",
+          R"("routes":[],"services":[],"tenants":[{"name":"first","api-keys":[7]}])",
+          R"("routes":[7],"services":[])"}) {
+        CAPTURE(text);
+        CHECK_FALSE(decode(text));
+    }
+}
+
 TEST_CASE("a desired state with any malformed field is rejected as a whole") {
     CHECK_FALSE(platform::decode_desired_state(config_row("no JSON")));
     CHECK_FALSE(platform::decode_desired_state(config_row(R"({"version":7,"routes":[{"name":1}],"services":[]})")));
@@ -236,6 +273,10 @@
     CHECK(state_of(R"(,"tickets":[])") == reservation_state::absent);
     CHECK_FALSE(state_of(""));
     CHECK_FALSE(state_of(R"(,"tickets":5)"));
+    CHECK_FALSE(state_of(ticket("1-7-0", "asleep")));
+    CHECK_FALSE(state_of(R"(,"tickets":[{"id":"1-7-0"}])"));
+    CHECK_FALSE(state_of(R"(,"tickets":[{"id":7,"state":"used"}])"));
+    CHECK_FALSE(state_of(R"(,"tickets":["1-7-0"])"));
     CHECK_FALSE(platform::decode_reservation_state("1-7-0", {{503, "", {}}, R"({"tickets":[]})"}));
     CHECK_FALSE(platform::decode_reservation_state("1-7-0", {{200, "", {}}, "<html>"}));
 }
@@ -253,6 +294,10 @@
     CHECK(std::get<store_fault>(answer(429, "")) == store_fault::unavailable);
     CHECK(std::get<store_fault>(answer(200, "<html>")) == store_fault::malformed);
     CHECK(std::get<store_fault>(answer(200, R"({"rows":[{}],"ver":1})")) == store_fault::malformed);
+    CHECK(std::get<store_page>(answer(200, R"({"rows":[],"ver":1})")).rows.empty());
+    CHECK(std::get<store_fault>(answer(200, R"({"rows":[],"has-more":true,"ver":1})")) == store_fault::malformed);
+    CHECK(std::get<store_fault>(answer(200, R"({"rows":null,"ver":1})")) == store_fault::malformed);
+    CHECK(std::get<store_fault>(answer(200, R"({"rows":[],"ver":1e300})")) == store_fault::malformed);
 }
 
 TEST_CASE("a missing or invalid setting is reported by its key") {
@@ -285,6 +330,7 @@
     CHECK(fault_of("10.0.0.1:1\"", "nowhere\"") == "listen.address");
     CHECK(fault_of("[7340,7355]", "7340") == "internal-ports");
     CHECK(fault_of("\"provider\"", "\"store\"") == "provider");
+    CHECK(fault_of("\"a-new-key\":true", "\"zones\":[]") == "zones");
 }
 
 TEST_CASE("the bound on unused memory is read, and a reload takes it over") {
--- a/test/error/serving_admission.cpp
+++ b/test/error/serving_admission.cpp
@@ -88,6 +88,81 @@
     CHECK(field_value(rig.server.requests().front().fields, "Verbenahold-Tenant").empty());
 }
 
+TEST_CASE("a daemon that starts while the list of accounts is empty or unreadable runs nothing") {
+    const auto [list, status] =
+        GENERATE(table<std::string, int>({{no_accounts, 401}, {R"(,"tenants":null)", 503}, {R"(,"tenants":{})", 503}}));
+    CAPTURE(list);
+    admission_rig rig(list);
+    rig.run_for(300ms);
+    for (const std::string key : {"key-1", "unknown", ""}) {
+        CHECK(rig.status_of(with_key("/x", key)) == status);
+    }
+    CHECK(rig.server.requests().empty());
+}
+
+TEST_CASE("a desired state that can't be read leaves the one before in force") {
+    admission_rig rig(one_account);
+    REQUIRE(rig.run_until_ready("host-1"));
+    rig.store.put("op", "config", state_text(2, R"(,"tenants":null)"));
+    rig.run_for(300ms);
+    CHECK(rig.status_of(with_key("/x", "key-1")) == 200);
+    CHECK(rig.status_of(with_key("/x", "")) == 401);
+    rig.store.put("op", "config", state_text(3, no_accounts));
+    CHECK(rig.run_until([&] { return rig.status_of(with_key("/x", "key-1")) == 401; }));
+}
+
+TEST_CASE("a request that waits is handled as the newest desired state says") {
+    // The service named here, and the status that the waiting request gets.
+    const auto [change, status] =
+        GENERATE(table<std::string, int>({{no_accounts, 401},
+                                          {R"(,"tenants":[{"name":"first","api-keys":["key-2"]}])", 401},
+                                          {one_account, 200},
+                                          {"no route", 404},
+                                          {"another service", 200}}));
+    CAPTURE(change);
+    const auto text = [](int version, const std::string& route, const std::string& more) {
+        return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + route +
+               R"(],"services":[{"name":"app"},{"name":"other"}])" + more + "}";
+    };
+    const auto route_to = [](const std::string& service) {
+        return R"({"name":"all","prefix":"/","host":"h.example","kind":"unsafe","timeout-ms":5000,
+                   "target-latency-ms":4000,"max-attempts":2,"service":")" +
+               service + R"("})";
+    };
+    serving_rig rig;
+    auto& pausing = rig.add_server("i-1", [](const http_request& request, const session_pointer& session) {
+        if (request.target == "/first") {
+            session->write(
+                "HTTP/1.1 503 Busy\r\nVerbenahold-Not-Executed: 1\r\nRetry-After: 0.6\r\n"
+                "Content-Length: 0\r\n\r\n");
+        } else {
+            session->write(proved_answer(request, "fine"));
+        }
+    });
+    scripted_server other(rig.loop, answer_well);
+    rig.store.put(
+        "servers", "i-other",
+        R"({"service":"other","address":")" + other.address() + R"(","zone":"zone-a","slots":4,"state":"ready"})");
+    rig.store.put("op", "config", text(1, route_to("app"), one_account));
+    rig.start_daemon("host-1");
+    REQUIRE(rig.run_until_ready("host-1"));
+    rig.call("host-1", request_text("POST", "/first", "a-1", "body"));
+    REQUIRE(rig.run_until([&] { return pausing.requests().size() == 1; }));
+    rig.run_for(50ms);
+    auto& waiting = rig.call("host-1", request_text("POST", "/second", "a-2", "body"));
+    rig.run_for(100ms);
+    REQUIRE(waiting.received().empty());
+    rig.store.put("op", "config",
+                  change == "no route"          ? text(2, "", one_account)
+                  : change == "another service" ? text(2, route_to("other"), one_account)
+                                                : text(2, route_to("app"), change));
+    REQUIRE(rig.run_until([&] { return waiting.received().find("\r\n\r\n") != std::string::npos; }));
+    INFO(waiting.received());
+    CHECK(waiting.received().starts_with("HTTP/1.1 " + std::to_string(status)));
+    CHECK(pausing.requests().size() == (change == one_account ? 2 : 1));
+    CHECK(other.requests().size() == (change == "another service" ? 2 : 0));
+}
+
 TEST_CASE("a body behind an ambiguous length is never run as a request of its own") {
     const auto fields =
         GENERATE(as<std::string>{}, "Transfer-Encoding: identity\r\n", "Transfer-Encoding: gzip\r\n",
--- a/test/error/serving_announced_lengths.cpp
+++ b/test/error/serving_announced_lengths.cpp
@@ -62,9 +62,8 @@
     const auto answer = GENERATE_COPY(
         head + huge_length + "\r\nabc", head + "\r\n" + std::string(300'000, 'x'),
         head + "Transfer-Encoding: chunked\r\n\r\n493e0\r\n" + std::string(300'000, 'x') + "\r\n0\r\n\r\n");
-    calling_client calling([&](const http_request&, const std::shared_ptr<scripted_server::session>& session) {
-        session->write(answer);
-    });
+    calling_client calling(
+        [&](const http_request&, const std::shared_ptr<scripted_server::session>& session) { session->write(answer); });
     const auto result = calling.call(max_report_bytes);
     CHECK_FALSE(result.answer);
     CHECK(result.failure == "the answer is too large");
