Bound the memory of the answers that a daemon holds whole

Cause: each answer had a limit of 16 MiB and all together had none; and an answer is copied as it is passed on.

Change: answers over 64 KiB share a sixth of the settings' memory. When they exceed it, the longest of those that still arrive gives way, which fails its attempt and counts against its server. Answers that wait for a slow caller are counted and kept. Bodies are moved to where they were copied.

With the budget lifted the new test of answers without end fails. Bodies of requests are not bounded together (docs/decisions/bytes-in-flight.md).

--- a/src/serving/exchange.hpp
+++ b/src/serving/exchange.hpp
@@ -57,6 +57,8 @@
     time_point first_event_at{};
     std::size_t events_received = 0;
     http_answer answer;
+    // The memory of the answer's body.
+    answer_budget::holding held;
     server_answer decoded;
     event_splitter events;
     bool streams = false;
@@ -119,6 +121,8 @@
     void end_attempt();
 
     bool on_head(const http_answer_head& head);
+    // Counts the answer of the current attempt, which fails if it must give way.
+    [[nodiscard]] answer_budget::holding hold_answer();
     void on_body(std::string_view bytes);
     void on_events(std::vector<stream_event> events);
     void on_complete();
--- a/src/serving/exchange_attempts.cpp
+++ b/src/serving/exchange_attempts.cpp
@@ -140,6 +140,7 @@
     m_state.pacer.on_sent(m_attempt->server, m_attempt->sent_at);
     m_state.statements.on_sent(m_attempt->server, m_attempt->sent_at);
     m_attempt->connection = take_connection(chosen.primary.address);
+    m_attempt->held = hold_answer();
     log_line("forwarded")
         .add("request", m_request.attempt_id)
         .add("server", m_attempt->server.value)
@@ -240,6 +241,17 @@
     return true;
 }
 
+answer_budget::holding exchange::hold_answer() {
+    return m_state.answers.hold([weak = weak_from_this(), number = m_attempt->work.number] {
+        const auto self = weak.lock();
+        if (self && self->m_attempt && self->m_attempt->work.number == number) {
+            self->contained([&] {
+                self->handle_outcome(attempt_outcome_unknown{}, "the answers of servers take too much memory");
+            });
+        }
+    });
+}
+
 void exchange::on_body(std::string_view bytes) {
     if (m_attempt->streams) {
         on_events(m_attempt->events.feed(bytes));
@@ -248,7 +260,9 @@
     m_attempt->answer.body += bytes;
     if (m_attempt->answer.body.size() > max_answer_bytes) {
         handle_outcome(attempt_outcome_unknown{}, "the answer is too large");
+        return;
     }
+    m_attempt->held.resize(m_attempt->answer.body.capacity());
 }
 
 void exchange::on_events(std::vector<stream_event> events) {
@@ -371,7 +385,7 @@
     }
     m_state.servers.report_success(current.server);
     note_sound(m_state.timers.now());
-    const auto answer = current.answer;
+    const auto answer = std::move(m_attempt->answer);
     end_attempt();
     send_answer(answer);
 }
@@ -452,7 +466,7 @@
 }
 
 void exchange::handle_outcome(const attempt_outcome& outcome, std::string_view reason) {
-    const auto failure = m_attempt->answer;
+    const auto failure = std::move(m_attempt->answer);
     if (std::holds_alternative<attempt_not_executed>(outcome)) {
         --m_history.may_have_run;
     }
--- a/src/serving/front_session.cpp
+++ b/src/serving/front_session.cpp
@@ -53,7 +53,7 @@
 }  // namespace
 
 front_session::front_session(gateway_state& state, tcp::socket socket)
-    : m_state(state), m_socket(std::move(socket)), m_reader(bounds()) {}
+    : m_state(state), m_socket(std::move(socket)), m_reader(bounds()), m_held(state.answers.hold()) {}
 
 front_session::~front_session() {
     m_state.timers.unsubscribe(m_timeout);
@@ -338,6 +338,7 @@
     m_unsent += bytes.size();
     m_answer_bytes += bytes.size();
     m_output.push_back(std::move(bytes));
+    m_held.resize(m_unsent + m_written_of_front);
     if (!m_writing) {
         write_next();
     }
@@ -366,6 +367,7 @@
         m_output.pop_front();
         m_written_of_front = 0;
     }
+    m_held.resize(m_unsent + m_written_of_front);
     if (!m_output.empty()) {
         write_next();
     } else if (m_closing) {
--- a/src/serving/front_session.hpp
+++ b/src/serving/front_session.hpp
@@ -86,6 +86,8 @@
     std::deque<std::string> m_output;
     std::size_t m_written_of_front = 0;
     std::size_t m_unsent = 0;
+    // The memory of what is not written yet.
+    answer_budget::holding m_held;
     // Id of the last request, and bytes of its answer so far.
     std::string m_request_id;
     std::size_t m_answer_bytes = 0;
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -482,6 +482,8 @@
                                static_cast<double>(m_state.statements.count_pausing(m_state.timers.now())));
     m_state.counters.set_gauge("reservations_held", m_state.reservations_held);
     m_state.counters.set_gauge("reservations_unused", m_state.reservations_unused);
+    m_state.counters.set_gauge("answer_bytes_held", static_cast<double>(m_state.answers.held_bytes()));
+    m_state.counters.set_counter("answers_given_way", static_cast<std::int64_t>(m_state.answers.given_way()));
     m_state.counters.set_gauge("live_daemons", m_state.daemons.senders());
     m_state.counters.set_counter("server_connections_opened", static_cast<std::int64_t>(m_state.pool.opened()));
     m_state.counters.set_counter("call_connections_opened", static_cast<std::int64_t>(m_state.calls.opened()));
--- a/src/serving/gateway_state.hpp
+++ b/src/serving/gateway_state.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "active_role.hpp"
+#include "answer_budget.hpp"
 #include "connection_pool.hpp"
 #include "crash_attribution.hpp"
 #include "daemon_view.hpp"
@@ -59,6 +60,10 @@
     std::optional<time_point> desired_state;
 };
 
+// One part of the host's memory is for answers that are held whole. While one is passed on
+// there are two copies of it, and the allocator keeps some of what was released.
+inline constexpr std::size_t parts_of_memory_for_answers = 6;
+
 struct gateway_state {
     gateway_state(const serving_settings& chosen, const wire_protocol& protocol, boost::asio::io_context& io,
                   std::uint64_t boot_of_daemon)
@@ -69,6 +74,8 @@
           timers(io, guard),
           pool(io, timers),
           calls(io, timers),
+          answers(chosen.memory_bytes / parts_of_memory_for_answers,
+                  [this](std::function<void()> work) { timers.after(duration::zero(), std::move(work)); }),
           placing(lateness_policy{}, boot_of_daemon),
           pacer(chosen.cold),
           repeats(chosen.repeats),
@@ -86,6 +93,8 @@
     // Connections to servers for the requests of callers.
     connection_pool pool;
     http_client calls;
+    // The answers that are held whole.
+    answer_budget answers;
 
     // Number of daemons by which this one divides limits that all share.
     [[nodiscard]] int sharing_daemons() { return role.sharing_daemons(daemons.recent_max_senders(timers.now())); }
--- a/src/serving/serving_settings.hpp
+++ b/src/serving/serving_settings.hpp
@@ -19,6 +19,8 @@
     std::size_t zones = 1;
     // Processor cores of this host, a fraction for a share of one.
     double cores = 1;
+    // Memory of this host that the process may take, in bytes.
+    std::size_t memory_bytes = 260'000'000;
     // IPv4 address of this host.
     std::string ip;
     // Addresses to listen on, "IP:PORT"; an empty one is not opened.
--- a/test/correctness/serving_platform_protocol.cpp
+++ b/test/correctness/serving_platform_protocol.cpp
@@ -331,6 +331,8 @@
     CHECK(fault_of("[7340,7355]", "7340") == "internal-ports");
     CHECK(fault_of("\"provider\"", "\"store\"") == "provider");
     CHECK(fault_of("\"a-new-key\":true", "\"zones\":[]") == "zones");
+    CHECK(std::get<serving_settings>(read).memory_bytes == 260'000'000);
+    CHECK(fault_of("\"a-new-key\":true", "\"limits\":{\"memory-mb\":0}") == "limits.memory-mb");
 }
 
 TEST_CASE("the bound on unused memory is read, and a reload takes it over") {
--- a/test/error/serving_memory.cpp
+++ b/test/error/serving_memory.cpp
@@ -2,10 +2,12 @@
 // lengths that are allocated and messages whose head or trailer never ends.
 #include "answer_parser.hpp"
 #include "request_reader.hpp"
+#include "serving_rig.hpp"
 
 #include <catch2/catch.hpp>
 
 using namespace verbenahold::serving;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -86,3 +88,53 @@
     reader.take_request();
     CHECK(reader.held_bytes() < 1'000);
 }
+
+TEST_CASE("answers without end give way before they fill the host's memory, and sound ones are served") {
+    constexpr std::size_t mib = 1'048'576;
+    serving_rig rig;
+    rig.memory_bytes = 36 * mib;
+    constexpr std::size_t budget = 6 * mib;
+    std::vector<std::shared_ptr<scripted_server::session>> endless;
+    const std::string piece(mib / 4, 'x');
+    rig.add_server("i-1", [&](const http_request& request, const std::shared_ptr<scripted_server::session>& session) {
+        if (request.target == "/unsafe/sound") {
+            session->write(proved_answer(request, std::string(mib, 's')));
+        } else {
+            auto head = proved_answer(request, {});
+            head.erase(head.find("Content-Length: 0\r\n"), 19);
+            session->write(head + piece);
+            endless.push_back(session);
+        }
+    });
+    rig.put_desired_state();
+    rig.start_daemon("host-1");
+    REQUIRE(rig.run_until_ready("host-1"));
+    std::vector<scripted_caller*> hurt;
+    for (int number = 0; number < 4; ++number) {
+        hurt.push_back(&rig.call("host-1", request_text("POST", "/unsafe/x", "a-" + std::to_string(number), "body")));
+    }
+    REQUIRE(rig.run_until([&] { return endless.size() == hurt.size(); }));
+    auto& sound = rig.call("host-1", request_text("POST", "/unsafe/sound", "a-sound", "body"));
+    // The endless answers grow to three times the budget.
+    std::size_t most = 0;
+    for (std::size_t sent = 0; sent < 3 * budget; sent += piece.size() * endless.size()) {
+        for (const auto& session : endless) {
+            session->write(piece);
+        }
+        rig.run_for(5ms);
+        auto& asking =
+            rig.call_address(rig.settings("host-1").metrics_address, "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n");
+        REQUIRE(rig.run_until([&] { return asking.received().find("answers_given_way") != std::string::npos; }));
+        const auto at = asking.received().find("\nverbenahold_answer_bytes_held ");
+        REQUIRE(at != std::string::npos);
+        most = std::max<std::size_t>(most, std::stoul(asking.received().substr(at + 30)));
+    }
+    CHECK(most > 0);
+    CHECK(most <= budget);
+    CHECK(rig.run_until([&] { return sound.received().ends_with("sss"); }));
+    CHECK(sound.received().starts_with("HTTP/1.1 200"));
+    for (const auto* caller : hurt) {
+        CHECK(rig.run_until([&] { return caller->received().starts_with("HTTP/1.1 50"); }));
+        CHECK_FALSE(caller->received().starts_with("HTTP/1.1 503"));
+    }
+}
--- a/test/rig/serving_rig.hpp
+++ b/test/rig/serving_rig.hpp
@@ -124,6 +124,7 @@
     // Settings of daemons that start from now on.
     retry_limits repeats{0.2, 100, std::chrono::seconds(10)};
     duration stop_grace = std::chrono::seconds(8);
+    std::size_t memory_bytes = 256UL * 1024 * 1024;
     // Longest time that memory may be reserved unused.
     duration max_unused_reservation = std::chrono::seconds(9);
     // What daemons that start from now on read when they reload; empty: they don't reload.
