Bound the memory of requests' bodies, and refuse those without room before they run

Each body had a limit of its own and all together had none: 40 bodies of 4 MB, which the limits allow, took a daemon to 360 MB on a host of 260 (docs/decisions/bytes-in-flight.md), and its process would have been killed with all of its requests.

Bodies over 64 KiB now share a quarter of the settings' memory, by the same rule as answers: the longest that still arrives gives way. It gets 503 with Retry-After, which is true, and its connection closes; requests that have begun keep their bodies. A connection to a server no longer keeps the memory of the last request that it sent.

--- a/src/routing/answer_budget.cpp
+++ b/src/routing/body_budget.cpp
@@ -1,16 +1,16 @@
-#include "answer_budget.hpp"
+#include "body_budget.hpp"
 
 #include <iterator>
 #include <utility>
 
 namespace verbenahold::serving {
 
-answer_budget::holding::holding(holding&& other) noexcept
+body_budget::holding::holding(holding&& other) noexcept
     : m_owner(std::exchange(other.m_owner, nullptr)),
       m_place(other.m_place),
       m_counted(std::exchange(other.m_counted, 0)) {}
 
-answer_budget::holding& answer_budget::holding::operator=(holding&& other) noexcept {
+body_budget::holding& body_budget::holding::operator=(holding&& other) noexcept {
     if (this != &other) {
         release();
         m_owner = std::exchange(other.m_owner, nullptr);
@@ -20,12 +20,12 @@
     return *this;
 }
 
-void answer_budget::holding::recount(std::size_t counted) {
+void body_budget::holding::recount(std::size_t counted) {
     m_counted = counted;
     m_owner->recount(*m_place, counted);
 }
 
-void answer_budget::holding::release() {
+void body_budget::holding::release() {
     if (m_owner == nullptr) {
         return;
     }
@@ -33,12 +33,12 @@
     std::exchange(m_owner, nullptr)->m_entries.erase(m_place);
 }
 
-answer_budget::holding answer_budget::hold(std::function<void()> give_way) {
+body_budget::holding body_budget::hold(std::function<void()> give_way) {
     m_entries.push_back({0, std::move(give_way), false});
     return {*this, std::prev(m_entries.end())};
 }
 
-answer_budget::entry* answer_budget::find_longest() {
+body_budget::entry* body_budget::find_longest() {
     entry* longest = nullptr;
     for (auto& candidate : m_entries) {
         const bool may_give_way = candidate.give_way && !candidate.is_giving_way && candidate.bytes > 0;
@@ -49,12 +49,13 @@
     return longest;
 }
 
-void answer_budget::recount(entry& counted, std::size_t bytes) {
+void body_budget::recount(entry& counted, std::size_t bytes) {
     m_held += bytes - counted.bytes;
     if (counted.is_giving_way) {
         m_leaving += bytes - counted.bytes;
     }
     counted.bytes = bytes;
+    counted.is_giving_way = counted.is_giving_way && bytes > 0;
     while (m_held - m_leaving > m_limit) {
         auto* longest = find_longest();
         if (longest == nullptr) {
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -28,7 +28,12 @@
 }  // namespace
 
 exchange::exchange(gateway_state& state, answer_sink& sink, caller_request request, time_point received_at)
-    : m_state(state), m_sink(&sink), m_request(std::move(request)), m_received_at(received_at) {
+    : m_state(state),
+      m_sink(&sink),
+      m_request(std::move(request)),
+      m_held(state.request_bodies.hold()),
+      m_received_at(received_at) {
+    m_held.resize(m_request.request.body.capacity());
     m_number = ++m_state.last_request;
     ++m_state.open_requests;
 }
--- a/src/serving/exchange.hpp
+++ b/src/serving/exchange.hpp
@@ -58,7 +58,7 @@
     std::size_t events_received = 0;
     http_answer answer;
     // The memory of the answer's body.
-    answer_budget::holding held;
+    body_budget::holding held;
     server_answer decoded;
     event_splitter events;
     bool streams = false;
@@ -122,7 +122,7 @@
 
     bool on_head(const http_answer_head& head);
     // Counts the answer of the current attempt, which fails if it must give way.
-    [[nodiscard]] answer_budget::holding hold_answer();
+    [[nodiscard]] body_budget::holding hold_answer();
     void on_body(std::string_view bytes);
     void on_events(std::vector<stream_event> events);
     void on_complete();
@@ -168,6 +168,8 @@
     gateway_state& m_state;
     answer_sink* m_sink;
     caller_request m_request;
+    // The memory of the request's body.
+    body_budget::holding m_held;
     time_point m_received_at;
     time_point m_deadline{};
     std::shared_ptr<const route_table> m_routes;
--- a/src/serving/exchange_attempts.cpp
+++ b/src/serving/exchange_attempts.cpp
@@ -241,8 +241,8 @@
     return true;
 }
 
-answer_budget::holding exchange::hold_answer() {
-    return m_state.answers.hold([weak = weak_from_this(), number = m_attempt->work.number] {
+body_budget::holding exchange::hold_answer() {
+    return m_state.answer_bodies.hold([weak = weak_from_this(), number = m_attempt->work.number] {
         const auto self = weak.lock();
         if (self && self->m_attempt && self->m_attempt->work.number == number) {
             self->contained([&] {
--- a/src/serving/front_session.cpp
+++ b/src/serving/front_session.cpp
@@ -53,7 +53,7 @@
 }  // namespace
 
 front_session::front_session(gateway_state& state, tcp::socket socket)
-    : m_state(state), m_socket(std::move(socket)), m_reader(bounds()), m_held(state.answers.hold()) {}
+    : m_state(state), m_socket(std::move(socket)), m_reader(bounds()), m_held(state.answer_bodies.hold()) {}
 
 front_session::~front_session() {
     m_state.timers.unsubscribe(m_timeout);
@@ -74,6 +74,11 @@
 void front_session::start() {
     boost::system::error_code ignored;
     m_socket.set_option(tcp::no_delay(true), ignored);
+    m_arriving = m_state.request_bodies.hold([weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->contained([&] { self->give_way(); });
+        }
+    });
     start_timeout(limits().idle_timeout);
     read();
 }
@@ -188,6 +193,7 @@
 void front_session::parse(std::string_view bytes) {
     m_reader.set_bounds(bounds());
     m_reader.feed(bytes);
+    m_arriving.resize(m_reader.held_bytes());
 }
 
 void front_session::handle_reader_state() {
@@ -217,12 +223,30 @@
     close_gracefully();
 }
 
+void front_session::refuse_partial_request() {
+    m_keep = false;
+    m_reader = request_reader(bounds());
+    m_arriving.resize(0);
+    write(answer_bytes({{503, {}, m_state.wire.own_answer_fields({}, retry_after_rejection)}, {}}, true, false));
+    close_gracefully();
+}
+
+void front_session::give_way() {
+    if (!m_reader.has_begun() || m_exchange || m_closing || m_socket_closed) {
+        return;
+    }
+    log_line("refused request without room for its body").add("arrived_bytes", m_reader.held_bytes()).warn();
+    m_state.counters.add("requests_without_room");
+    refuse_partial_request();
+}
+
 void front_session::begin_exchange() {
     m_state.timers.unsubscribe(m_timeout);
     m_timing_request = false;
     m_keep = m_reader.keep_alive();
     m_unchunked_stream = m_reader.is_http_1_0();
     auto request = m_state.wire.read_request(m_reader.take_request());
+    m_arriving.resize(m_reader.held_bytes());
     m_head_request = request.request.method == "HEAD";
     m_request_id = request.attempt_id;
     m_answer_bytes = 0;
@@ -412,9 +436,7 @@
         m_exchange->on_stop();
     } else if (m_reader.has_begun() && !m_closing) {
         // The rest of the request would come too late.
-        m_keep = false;
-        write(answer_bytes({{503, {}, m_state.wire.own_answer_fields({}, retry_after_rejection)}, {}}, true, false));
-        close_gracefully();
+        refuse_partial_request();
     }
     close_if_idle();
 }
--- a/src/serving/front_session.hpp
+++ b/src/serving/front_session.hpp
@@ -55,6 +55,10 @@
     void start_next_request();
     void begin_exchange();
     void reject_malformed();
+    // Ends the connection with a 503 for a request that has not arrived whole.
+    void refuse_partial_request();
+    // Other bodies leave no room for the one that arrives.
+    void give_way();
     void write(std::string bytes);
     void write_stream_head(const http_answer_head& head);
     void write_next();
@@ -87,7 +91,9 @@
     std::size_t m_written_of_front = 0;
     std::size_t m_unsent = 0;
     // The memory of what is not written yet.
-    answer_budget::holding m_held;
+    body_budget::holding m_held;
+    // The memory of a request that arrives.
+    body_budget::holding m_arriving;
     // Id of the last request, and bytes of its answer so far.
     std::string m_request_id;
     std::size_t m_answer_bytes = 0;
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -36,6 +36,7 @@
 constexpr auto counter_names = std::to_array<std::string_view>({
     "requests_received",
     "requests_blocked",
+    "requests_without_room",
     "requests_answered",
     "requests_refused",
     "requests_failed",
@@ -482,8 +483,9 @@
                                static_cast<double>(m_state.statements.count_pausing(m_state.timers.now())));
     m_state.counters.set_gauge("reservations_held", m_state.reservations_held);
     m_state.counters.set_gauge("reservations_unused", m_state.reservations_unused);
-    m_state.counters.set_gauge("answer_bytes_held", static_cast<double>(m_state.answers.held_bytes()));
-    m_state.counters.set_counter("answers_given_way", static_cast<std::int64_t>(m_state.answers.given_way()));
+    m_state.counters.set_gauge("request_bytes_held", static_cast<double>(m_state.request_bodies.held_bytes()));
+    m_state.counters.set_gauge("answer_bytes_held", static_cast<double>(m_state.answer_bodies.held_bytes()));
+    m_state.counters.set_counter("answers_given_way", static_cast<std::int64_t>(m_state.answer_bodies.given_way()));
     m_state.counters.set_gauge("live_daemons", m_state.daemons.senders());
     m_state.counters.set_counter("server_connections_opened", static_cast<std::int64_t>(m_state.pool.opened()));
     m_state.counters.set_counter("call_connections_opened", static_cast<std::int64_t>(m_state.calls.opened()));
--- a/src/serving/gateway_state.hpp
+++ b/src/serving/gateway_state.hpp
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "active_role.hpp"
-#include "answer_budget.hpp"
+#include "body_budget.hpp"
 #include "connection_pool.hpp"
 #include "crash_attribution.hpp"
 #include "daemon_view.hpp"
@@ -60,8 +60,10 @@
     std::optional<time_point> desired_state;
 };
 
-// One part of the host's memory is for answers that are held whole. While one is passed on
-// there are two copies of it, and the allocator keeps some of what was released.
+// One part of the host's memory is for bodies of requests, and one for bodies of answers.
+// While a body is passed on there are two copies of it, and the allocator keeps some of what
+// was released.
+inline constexpr std::size_t parts_of_memory_for_requests = 4;
 inline constexpr std::size_t parts_of_memory_for_answers = 6;
 
 struct gateway_state {
@@ -74,8 +76,8 @@
           timers(io, guard),
           pool(io, timers),
           calls(io, timers),
-          answers(chosen.memory_bytes / parts_of_memory_for_answers,
-                  [this](std::function<void()> work) { timers.after(duration::zero(), std::move(work)); }),
+          request_bodies(chosen.memory_bytes / parts_of_memory_for_requests, defer()),
+          answer_bodies(chosen.memory_bytes / parts_of_memory_for_answers, defer()),
           placing(lateness_policy{}, boot_of_daemon),
           pacer(chosen.cold),
           repeats(chosen.repeats),
@@ -93,8 +95,13 @@
     // Connections to servers for the requests of callers.
     connection_pool pool;
     http_client calls;
-    // The answers that are held whole.
-    answer_budget answers;
+    // The bodies that are held whole.
+    body_budget request_bodies;
+    body_budget answer_bodies;
+
+    [[nodiscard]] body_budget::deferral defer() {
+        return [this](std::function<void()> work) { timers.after(duration::zero(), std::move(work)); };
+    }
 
     // Number of daemons by which this one divides limits that all share.
     [[nodiscard]] int sharing_daemons() { return role.sharing_daemons(daemons.recent_max_senders(timers.now())); }
--- a/src/serving/server_connection.cpp
+++ b/src/serving/server_connection.cpp
@@ -136,7 +136,7 @@
                                  // A write error is handled by the read, which also gets an answer
                                  // that the server sent before.
                                  if (!error) {
-                                     self->m_output.clear();
+                                     self->m_output = {};
                                  }
                              });
 }
--- a/test/correctness/core_answer_budget.cpp
+++ b/test/correctness/core_body_budget.cpp
@@ -1,6 +1,6 @@
 // Tests the bound on the memory of answers. Guards against answers without end that fill the
 // host's memory or displace sound ones.
-#include "answer_budget.hpp"
+#include "body_budget.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -13,12 +13,12 @@
 constexpr std::size_t kib = 1'024;
 
 struct counted_answers {
-    answer_budget::holding arriving(int number) {
+    body_budget::holding arriving(int number) {
         return budget.hold([this, number] { gave_way.push_back(number); });
     }
 
     std::vector<int> gave_way;
-    answer_budget budget{1'000 * kib, [](const std::function<void()>& work) { work(); }};
+    body_budget budget{1'000 * kib, [](const std::function<void()>& work) { work(); }};
 };
 
 }  // namespace
@@ -45,18 +45,18 @@
     waiting.resize(1'200 * kib);
     CHECK(answers.gave_way.empty());
     auto arriving = answers.arriving(1);
-    arriving.resize(uncounted_answer_bytes);
+    arriving.resize(uncounted_body_bytes);
     CHECK(answers.gave_way.empty());
-    arriving.resize(uncounted_answer_bytes + 1);
+    arriving.resize(uncounted_body_bytes + 1);
     CHECK(answers.gave_way == std::vector<int>{1});
 }
 
 TEST_CASE("short answers are not counted, and memory returns when answers end") {
     counted_answers answers;
-    std::vector<answer_budget::holding> held;
+    std::vector<body_budget::holding> held;
     for (int number = 0; number < 100; ++number) {
         held.push_back(answers.arriving(number));
-        held.back().resize(uncounted_answer_bytes);
+        held.back().resize(uncounted_body_bytes);
     }
     CHECK(answers.budget.held_bytes() == 0);
     auto longer = answers.arriving(100);
--- a/test/error/serving_memory.cpp
+++ b/test/error/serving_memory.cpp
@@ -13,6 +13,14 @@
 
 constexpr const char* huge_length = "Content-Length: 1000000000000000000\r\n";
 
+// The gauge of this name on a daemon's page of metrics.
+std::size_t gauge(serving_rig& rig, const std::string& name) {
+    auto& asking = rig.call_address(rig.settings("host-1").metrics_address, "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n");
+    const auto line = "\nverbenahold_" + name + " ";
+    REQUIRE(rig.run_until([&] { return asking.received().find(line) != std::string::npos; }));
+    return std::stoul(asking.received().substr(asking.received().find(line) + line.size()));
+}
+
 }  // namespace
 
 TEST_CASE("an announced length is never allocated") {
@@ -81,7 +89,9 @@
 TEST_CASE("a reader holds no buffer once its requests are taken") {
     request_reader reader({16'384, 4'194'304});
     reader.feed("POST / HTTP/1.1\r\nContent-Length: 1000000\r\n\r\n");
-    reader.feed(std::string(1'000'000, 'x') + "GET / HTTP/1.1\r\n\r\n");
+    std::string rest(1'000'000, 'x');
+    rest.append("GET / HTTP/1.1\r\n\r\n");
+    reader.feed(rest);
     REQUIRE(reader.state() == request_reader::progress::complete);
     CHECK(reader.take_request().body.size() == 1'000'000);
     reader.feed({});
@@ -122,12 +132,7 @@
             session->write(piece);
         }
         rig.run_for(5ms);
-        auto& asking =
-            rig.call_address(rig.settings("host-1").metrics_address, "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n");
-        REQUIRE(rig.run_until([&] { return asking.received().find("answers_given_way") != std::string::npos; }));
-        const auto at = asking.received().find("\nverbenahold_answer_bytes_held ");
-        REQUIRE(at != std::string::npos);
-        most = std::max<std::size_t>(most, std::stoul(asking.received().substr(at + 30)));
+        most = std::max(most, gauge(rig, "answer_bytes_held"));
     }
     CHECK(most > 0);
     CHECK(most <= budget);
@@ -138,3 +143,48 @@
         CHECK_FALSE(caller->received().starts_with("HTTP/1.1 503"));
     }
 }
+
+TEST_CASE("requests without room for their bodies are told that they have not run, and the others are served") {
+    constexpr std::size_t mib = 1'048'576;
+    serving_rig rig;
+    rig.memory_bytes = 40 * mib;
+    constexpr std::size_t budget = 10 * mib;
+    auto& server = rig.add_server(
+        "i-1", [](const http_request& request, const std::shared_ptr<scripted_server::session>& session) {
+            session->write(proved_answer(request, "fine"));
+        });
+    rig.put_desired_state();
+    rig.start_daemon("host-1");
+    REQUIRE(rig.run_until_ready("host-1"));
+    // All but the last bytes of eight bodies of 3 MiB.
+    std::vector<scripted_caller*> callers;
+    for (int number = 0; number < 8; ++number) {
+        auto text = request_text("POST", "/unsafe/x", "a-" + std::to_string(number), std::string(3 * mib, 'x'));
+        text.resize(text.size() - 3);
+        callers.push_back(&rig.call("host-1", text));
+    }
+    const auto refused = [&] {
+        return static_cast<std::size_t>(std::count_if(callers.begin(), callers.end(), [](const auto* caller) {
+            return caller->received().starts_with("HTTP/1.1 503") &&
+                   caller->received().find("Retry-After: ") != std::string::npos;
+        }));
+    };
+    CHECK(rig.run_until([&] { return refused() >= callers.size() - budget / (3 * mib); }));
+    CHECK(gauge(rig, "request_bytes_held") <= budget);
+    auto& small = rig.call("host-1", request_text("POST", "/unsafe/x", "a-small", "body"));
+    CHECK(rig.run_until([&] { return small.received().ends_with("fine"); }));
+    const auto kept = callers.size() - refused();
+    CHECK(kept > 0);
+    for (auto* caller : callers) {
+        if (caller->received().empty()) {
+            caller->send("xxx");
+        }
+    }
+    CHECK(rig.run_until([&] { return server.requests().size() == kept + 1; }));
+    CHECK(rig.run_until([&] {
+        return std::all_of(callers.begin(), callers.end(), [](const auto* caller) {
+            return caller->received().starts_with("HTTP/1.1 503") || caller->received().ends_with("fine");
+        });
+    }));
+    CHECK(rig.run_until([&] { return gauge(rig, "request_bytes_held") == 0; }));
+}
