Count a waiting request once for its service's repeats, and let bodies be counted last

A request that is resolved anew while it waits was counted a second time for the budget of repeats, which allows more of them. It counts again only at another service. The budgets of bodies now outlive the timers and connections whose callbacks may hold bodies.

--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -80,7 +80,6 @@
         return false;
     }
     m_traits = traits();
-    m_state.repeats.on_request(m_service->name, m_state.timers.now());
     return true;
 }
 
@@ -100,6 +99,7 @@
         return false;
     }
     m_last_event = m_request.last_event_id;
+    m_state.repeats.on_request(m_service->name, m_state.timers.now());
     m_deadline_timer = m_state.timers.after(std::max(duration::zero(), time_left() - deadline_margin),
                                             [this] { contained([this] { on_deadline(); }); });
     return true;
@@ -148,8 +148,14 @@
 
 void exchange::place_again() {
     const bool is_untouched = m_history.may_have_run == 0 && !m_history.answer_begun;
-    if (is_untouched && m_routes != m_state.routes && !resolve()) {
-        return;
+    if (is_untouched && m_routes != m_state.routes) {
+        const auto service_before = m_service->name;
+        if (!resolve()) {
+            return;
+        }
+        if (m_service->name != service_before) {
+            m_state.repeats.on_request(m_service->name, m_state.timers.now());
+        }
     }
     place();
 }
--- a/src/serving/gateway_state.hpp
+++ b/src/serving/gateway_state.hpp
@@ -73,11 +73,11 @@
           wire(protocol),
           loop(io),
           guard(counters),
+          request_bodies(chosen.memory_bytes / parts_of_memory_for_requests, defer()),
+          answer_bodies(chosen.memory_bytes / parts_of_memory_for_answers, defer()),
           timers(io, guard),
           pool(io, timers),
           calls(io, timers),
-          request_bodies(chosen.memory_bytes / parts_of_memory_for_requests, defer()),
-          answer_bodies(chosen.memory_bytes / parts_of_memory_for_answers, defer()),
           placing(lateness_policy{}, boot_of_daemon),
           pacer(chosen.cold),
           repeats(chosen.repeats),
@@ -91,13 +91,14 @@
     boost::asio::io_context& loop;
     metrics counters;
     handler_guard guard;
+    // The bodies that are held whole.
+    body_budget request_bodies;
+    body_budget answer_bodies;
+    // Callbacks of timers and connections may hold bodies.
     loop_timers timers;
     // Connections to servers for the requests of callers.
     connection_pool pool;
     http_client calls;
-    // The bodies that are held whole.
-    body_budget request_bodies;
-    body_budget answer_bodies;
 
     [[nodiscard]] body_budget::deferral defer() {
         return [this](std::function<void()> work) { timers.after(duration::zero(), std::move(work)); };
