Count bodies by what they take, and give answers a quarter of the memory

The bodies were counted with a capacity of twice their length: std::string::reserve at least doubles the capacity of a string that has one, so that the announced length never ended its growth. A body now grows into a fresh string of the right capacity. Answers get a quarter of the memory, as requests do.

The test of a body's capacity failed before.

--- a/src/serving/exchange_attempts.cpp
+++ b/src/serving/exchange_attempts.cpp
@@ -257,7 +257,7 @@
         on_events(m_attempt->events.feed(bytes));
         return;
     }
-    m_attempt->answer.body += bytes;
+    append_arrived(m_attempt->answer.body, bytes, m_attempt->answer.head.announced_length);
     if (m_attempt->answer.body.size() > max_answer_bytes) {
         handle_outcome(attempt_outcome_unknown{}, "the answer is too large");
         return;
--- a/src/serving/gateway_state.hpp
+++ b/src/serving/gateway_state.hpp
@@ -64,7 +64,7 @@
 // While a body is passed on there are two copies of it, and the allocator keeps some of what
 // was released.
 inline constexpr std::size_t parts_of_memory_for_requests = 4;
-inline constexpr std::size_t parts_of_memory_for_answers = 6;
+inline constexpr std::size_t parts_of_memory_for_answers = 4;
 
 struct gateway_state {
     gateway_state(const serving_settings& chosen, const wire_protocol& protocol, boost::asio::io_context& io,
--- a/src/serving/http_types.hpp
+++ b/src/serving/http_types.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <algorithm>
+#include <bit>
 #include <cctype>
 #include <cstdint>
 #include <optional>
@@ -57,6 +58,21 @@
     std::string body;
 };
 
+// Appends bytes of a body. Its capacity grows to powers of two as bytes arrive, and ends at
+// the announced length.
+inline void append_arrived(std::string& body, std::string_view bytes, std::optional<std::uint64_t> announced) {
+    const auto size = body.size() + bytes.size();
+    if (size > body.capacity()) {
+        const auto doubled = static_cast<std::uint64_t>(std::bit_ceil(size));
+        // reserve() at least doubles the capacity of a string that has one.
+        std::string grown;
+        grown.reserve(std::max<std::uint64_t>(size, std::min(doubled, announced.value_or(doubled))));
+        grown.append(body);
+        body.swap(grown);
+    }
+    body.append(bytes);
+}
+
 // The path of a target, without the query.
 inline std::string_view path_of(std::string_view target) {
     return target.substr(0, target.find('?'));
--- a/src/serving/message_parser.hpp
+++ b/src/serving/message_parser.hpp
@@ -7,8 +7,6 @@
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 
-#include <algorithm>
-#include <bit>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -74,29 +72,19 @@
     void on_body_init_impl(boost::optional<std::uint64_t> const&, error_code&) override {}
 
     std::size_t on_body_impl(string_view bytes, error_code&) override {
-        append(bytes, announced_length());
+        append_arrived(body, {bytes.data(), bytes.size()}, announced_length());
         return bytes.size();
     }
 
     void on_chunk_header_impl(std::uint64_t, string_view, error_code&) override {}
 
     std::size_t on_chunk_body_impl(std::uint64_t, string_view bytes, error_code&) override {
-        append(bytes, std::nullopt);
+        append_arrived(body, {bytes.data(), bytes.size()}, std::nullopt);
         return bytes.size();
     }
 
     void on_finish_impl(error_code&) override {}
 
-    // The capacity grows to powers of two as bytes arrive, and ends at the announced length.
-    void append(string_view bytes, std::optional<std::uint64_t> announced) {
-        const auto size = body.size() + bytes.size();
-        if (size > body.capacity()) {
-            const auto grown = static_cast<std::uint64_t>(std::bit_ceil(size));
-            body.reserve(std::max<std::uint64_t>(size, std::min(grown, announced.value_or(grown))));
-        }
-        body.append(bytes.data(), bytes.size());
-    }
-
     std::size_t m_max_field_bytes;
     std::size_t m_field_bytes = 0;
 };
--- a/test/error/serving_memory.cpp
+++ b/test/error/serving_memory.cpp
@@ -35,6 +35,17 @@
     CHECK(request.held_bytes() < 1'000);
 }
 
+TEST_CASE("a body takes no more memory than its announced length") {
+    constexpr std::size_t length = 10'000'000;
+    std::string body;
+    const std::string piece(16'000, 'x');
+    while (body.size() < length) {
+        append_arrived(body, piece, length);
+    }
+    CHECK(body.size() == length);
+    CHECK(body.capacity() == length);
+}
+
 TEST_CASE("trailers and extensions of chunks beyond the limit break the message and end nothing else") {
     const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
     const std::vector<std::string> ends{"0\r\nName: " + std::string(70'000, 'x') + "\r\n\r\n",
@@ -102,7 +113,7 @@
 TEST_CASE("answers without end give way before they fill the host's memory, and sound ones are served") {
     constexpr std::size_t mib = 1'048'576;
     serving_rig rig;
-    rig.memory_bytes = 36 * mib;
+    rig.memory_bytes = 24 * mib;
     constexpr std::size_t budget = 6 * mib;
     std::vector<std::shared_ptr<scripted_server::session>> endless;
     const std::string piece(mib / 4, 'x');
