Keep waiting requests in order instead of sorting them at each try

Cause: each try sorted all requests of a lane, and each arrival compared itself with all of them, so that the cost grew with the overload. Change: a lane keeps its requests by rank and arrival, and moves those whose time to be in time has passed. The order is the same.

--- a/src/routing/admission_queue.cpp
+++ b/src/routing/admission_queue.cpp
@@ -3,7 +3,6 @@
 #include "duration_units.hpp"
 
 #include <algorithm>
-#include <tuple>
 
 namespace verbenahold::serving {
 
@@ -16,6 +15,28 @@
 constexpr std::size_t min_rate_samples = 4;
 constexpr duration max_sample_age = std::chrono::seconds(2);
 
+template <class Ranks, class Key>
+void erase_from(Ranks& ranks, const typename Ranks::key_type& rank, const Key& key) {
+    const auto found = ranks.find(rank);
+    if (found != ranks.end() && found->second.erase(key) > 0 && found->second.empty()) {
+        ranks.erase(found);
+    }
+}
+
+// Appends requests in order until there are `count`.
+template <class Ranks, class Id>
+void append_in_order(const Ranks& ranks, bool newest_first, std::size_t count, std::vector<Id>& ids) {
+    const auto append = [&](const auto& entry) { ids.push_back(entry.second); };
+    for (const auto& [rank, entries] : ranks) {
+        const auto missing = static_cast<std::ptrdiff_t>(std::min(count - ids.size(), entries.size()));
+        if (newest_first) {
+            std::for_each(entries.rbegin(), std::next(entries.rbegin(), missing), append);
+        } else {
+            std::for_each(entries.begin(), std::next(entries.begin(), missing), append);
+        }
+    }
+}
+
 }  // namespace
 
 bool admission_queue::add(request_id id, const waiting_request& request, time_point now) {
@@ -23,9 +44,14 @@
     if (lane.waiting >= max_waiting_in_lane) {
         return false;
     }
-    if (m_requests.emplace(id, request).second && lane.waiting++ == 0) {
+    if (!m_requests.emplace(id, request).second) {
+        return true;
+    }
+    if (lane.waiting++ == 0) {
         lane.waiting_since = now;
     }
+    lane.timely[rank_of(request)].emplace(request.arrived, id);
+    lane.timely_until.emplace(request.timely_until, id);
     return true;
 }
 
@@ -34,7 +60,8 @@
     if (found == m_requests.end()) {
         return;
     }
-    auto& lane = state(found->second.lane);
+    const auto request = found->second;
+    auto& lane = state(request.lane);
     --lane.waiting;
     if (placed) {
         lane.placed.push_back(now);
@@ -42,6 +69,8 @@
             lane.placed.pop_front();
         }
     }
+    auto& ranks = lane.timely_until.erase({request.timely_until, id}) > 0 ? lane.timely : lane.late;
+    erase_from(ranks, rank_of(request), std::pair(request.arrived, id));
     m_requests.erase(found);
 }
 
@@ -49,41 +78,47 @@
     return state(lane).waiting;
 }
 
-bool admission_queue::newest_first(admission_lane lane, time_point now) const {
-    return lane == admission_lane::interactive && state(lane).waiting > 0 &&
-           now - state(lane).waiting_since > standing_queue_time;
+bool admission_queue::newest_first(admission_lane lane, const lane_state& state, time_point now) {
+    return lane == admission_lane::interactive && state.waiting > 0 && now - state.waiting_since > standing_queue_time;
 }
 
-bool admission_queue::is_before(const waiting_request& left, const waiting_request& right, time_point now) const {
-    const auto rank = [&](const waiting_request& request) {
-        const bool late = now > request.timely_until;
-        // The late ones go by arrival, so that none waits forever.
-        const bool reversed = !late && newest_first(request.lane, now);
-        const auto age = (now - request.arrived).count();
-        return std::tuple(late, request.yields, request.priority, reversed ? age : -age);
-    };
-    return rank(left) < rank(right);
+void admission_queue::update_late(lane_state& lane, time_point now) {
+    while (!lane.timely_until.empty() && lane.timely_until.begin()->first < now) {
+        const auto id = lane.timely_until.begin()->second;
+        const auto& request = m_requests.at(id);
+        const std::pair key(request.arrived, id);
+        erase_from(lane.timely, rank_of(request), key);
+        lane.late[rank_of(request)].insert(key);
+        lane.timely_until.erase(lane.timely_until.begin());
+    }
 }
 
-bool admission_queue::goes_first(const waiting_request& arriving, time_point now) const {
-    return std::none_of(m_requests.begin(), m_requests.end(), [&](const auto& entry) {
-        return entry.second.lane == arriving.lane && is_before(entry.second, arriving, now);
-    });
+bool admission_queue::goes_first(const waiting_request& arriving, time_point now) {
+    auto& lane = state(arriving.lane);
+    update_late(lane, now);
+    const bool is_late = now > arriving.timely_until;
+    if (is_late && !lane.timely.empty()) {
+        return false;
+    }
+    const auto& ranks = is_late ? lane.late : lane.timely;
+    if (ranks.empty()) {
+        return true;
+    }
+    const auto own_rank = rank_of(arriving);
+    const auto& [first_rank, first] = *ranks.begin();
+    if (first_rank != own_rank) {
+        return own_rank < first_rank;
+    }
+    const bool reversed = !is_late && newest_first(arriving.lane, lane, now);
+    return reversed ? arriving.arrived >= first.rbegin()->first : arriving.arrived <= first.begin()->first;
 }
 
-std::vector<admission_queue::request_id> admission_queue::next(admission_lane lane, std::size_t count,
-                                                               time_point now) const {
+std::vector<admission_queue::request_id> admission_queue::next(admission_lane lane, std::size_t count, time_point now) {
+    auto& waiting = state(lane);
+    update_late(waiting, now);
     std::vector<request_id> ids;
-    for (const auto& [id, request] : m_requests) {
-        if (request.lane == lane) {
-            ids.push_back(id);
-        }
-    }
-    const auto end = ids.begin() + static_cast<std::ptrdiff_t>(std::min(count, ids.size()));
-    std::partial_sort(ids.begin(), end, ids.end(), [&](request_id left, request_id right) {
-        return is_before(m_requests.at(left), m_requests.at(right), now);
-    });
-    ids.erase(end, ids.end());
+    append_in_order(waiting.timely, newest_first(lane, waiting, now), count, ids);
+    append_in_order(waiting.late, false, count, ids);
     return ids;
 }
 
--- a/src/routing/admission_queue.hpp
+++ b/src/routing/admission_queue.hpp
@@ -7,11 +7,15 @@
 
 #include "verbenahold/types.hpp"
 
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace verbenahold::serving {
@@ -46,30 +50,46 @@
     [[nodiscard]] std::size_t size(admission_lane lane) const;
 
     // Whether a request that arrives now is tried before those that wait.
-    [[nodiscard]] bool goes_first(const waiting_request& arriving, time_point now) const;
+    [[nodiscard]] bool goes_first(const waiting_request& arriving, time_point now);
     // The requests to try now, in this order, at most `count`.
-    [[nodiscard]] std::vector<request_id> next(admission_lane lane, std::size_t count, time_point now) const;
+    [[nodiscard]] std::vector<request_id> next(admission_lane lane, std::size_t count, time_point now);
     // Predicted time until a request that joins the lane gets capacity, from the rate at
     // which others got it; empty while nothing is known.
     [[nodiscard]] std::optional<duration> predicted_wait(admission_lane lane, time_point now) const;
 
 private:
+    // Requests of a lower rank are tried first.
+    struct rank {
+        bool yields = false;
+        int priority = 0;
+        auto operator<=>(const rank&) const = default;
+    };
+    using by_time = std::set<std::pair<time_point, request_id>>;
+    using by_rank = std::map<rank, by_time>;
     struct lane_state {
         std::size_t waiting = 0;
         // Since when requests have waited without a pause.
         time_point waiting_since{};
         // When requests got capacity, the last few.
         std::deque<time_point> placed;
+        // By arrival.
+        by_rank timely;
+        by_rank late;
+        // The timely ones, by the time until which they are.
+        by_time timely_until;
     };
 
     // Newest first once requests have waited for a while: the oldest are about to become
-    // late, and each that is served at its last moment makes the next one late too.
-    [[nodiscard]] bool newest_first(admission_lane lane, time_point now) const;
-    [[nodiscard]] bool is_before(const waiting_request& left, const waiting_request& right, time_point now) const;
+    // late, and each that is served at its last moment makes the next one late too. The late
+    // ones go by arrival, so that none waits forever.
+    [[nodiscard]] static bool newest_first(admission_lane lane, const lane_state& state, time_point now);
+    // Moves the requests whose time to be timely has passed to the late ones.
+    void update_late(lane_state& lane, time_point now);
+    [[nodiscard]] static rank rank_of(const waiting_request& request) { return {request.yields, request.priority}; }
     [[nodiscard]] const lane_state& state(admission_lane lane) const { return m_lanes[static_cast<std::size_t>(lane)]; }
     lane_state& state(admission_lane lane) { return m_lanes[static_cast<std::size_t>(lane)]; }
 
-    std::map<request_id, waiting_request> m_requests;
+    std::unordered_map<request_id, waiting_request> m_requests;
     lane_state m_lanes[2];
 };
 
--- a/src/serving/capacity_waiters.hpp
+++ b/src/serving/capacity_waiters.hpp
@@ -22,6 +22,10 @@
     // requests wait already.
     bool add(admission_queue::request_id id, const waiting_request& request, std::function<void()> try_again);
     void remove(admission_queue::request_id id, bool placed);
+    // Whether a request that arrives now is tried before those that wait.
+    [[nodiscard]] bool goes_first(const waiting_request& arriving) {
+        return m_queue.goes_first(arriving, m_timers.now());
+    }
     [[nodiscard]] const admission_queue& queue() const { return m_queue; }
 
 private:
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -293,7 +293,7 @@
 
 bool exchange::is_behind_others() const {
     return m_service->engine && !m_history.answer_begun && !m_state.waiters.queue().contains(m_number) &&
-           !m_state.waiters.queue().goes_first(as_waiting(), m_state.timers.now());
+           !m_state.waiters.goes_first(as_waiting());
 }
 
 bool exchange::is_load_unknown() const {
