Forget the work of a daemon that starts again under its name

Cause: a daemon that was killed and started again within 1.6 s was never found silent. Its requests, which the servers had ended with their connections, kept batch slots, memory and prefill from all others until they expired, up to 16 s later. Change: a heartbeat of a new run ends the earlier one. The log line is "daemon ended" in both cases. Result: both new tests failed before.

--- a/src/routing/daemon_view.cpp
+++ b/src/routing/daemon_view.cpp
@@ -2,6 +2,7 @@
 
 #include <xxhash.h>
 #include <algorithm>
+#include <utility>
 
 namespace verbenahold::serving {
 
@@ -23,6 +24,9 @@
         return false;
     }
     const bool is_new = known.status.boot != status.boot;
+    if (!inserted && is_new) {
+        m_replaced_boots.push_back(known.status.boot);
+    }
     if (inserted || is_new || known.status.active != status.active || known.status.shares_work != status.shares_work) {
         ++m_revision;
     }
@@ -55,7 +59,7 @@
 }
 
 std::vector<std::uint64_t> daemon_view::remove_dead(time_point now) {
-    std::vector<std::uint64_t> dead;
+    auto dead = std::exchange(m_replaced_boots, {});
     std::erase_if(m_alive, [&](const auto& entry) {
         const auto timeout = entry.second.status.shares_work ? daemon_timeout : standby_timeout;
         if (now - entry.second.last_heard < timeout) {
--- a/src/routing/daemon_view.hpp
+++ b/src/routing/daemon_view.hpp
@@ -83,7 +83,8 @@
     bool on_relayed_status(const daemon_status& status, time_point heard_at);
     // The daemon announced that it is shutting down.
     void on_leaving(const std::string& name);
-    // Removes daemons whose heartbeats have stopped and returns their boots.
+    // Removes daemons whose heartbeats have stopped. Returns their boots, and those of
+    // daemons that have started again since the last call.
     std::vector<std::uint64_t> remove_dead(time_point now);
 
     // The other daemons of which rows or heartbeats are known, alive or not.
@@ -112,6 +113,7 @@
 
     std::map<std::string, daemon_record> m_records;
     std::map<std::string, member> m_alive;
+    std::vector<std::uint64_t> m_replaced_boots;
     std::uint64_t m_revision = 0;
     int m_peak = 1;
     time_point m_peak_at{};
--- a/src/serving/gateway_state.hpp
+++ b/src/serving/gateway_state.hpp
@@ -12,6 +12,7 @@
 #include "engine_load.hpp"
 #include "http_client.hpp"
 #include "kept_prefixes.hpp"
+#include "log_line.hpp"
 #include "placer.hpp"
 #include "planned_stop.hpp"
 #include "retry_budget_share.hpp"
@@ -148,6 +149,15 @@
         return caches ? &*used->engine : nullptr;
     }
 
+    // Servers end the requests of a daemon that has ended. What it had in progress would keep
+    // capacity from others until it expires.
+    void forget_work_of_ended_daemons() {
+        for (const auto ended : daemons.remove_dead(timers.now())) {
+            log_line("daemon ended").add("boot", ended).warn();
+            load.remove_daemon(ended, timers.now());
+        }
+    }
+
     // Takes in a load report of a server.
     void on_report(const server_report& report) {
         load.on_report(report, timers.now());
--- a/src/serving/peer_link.cpp
+++ b/src/serving/peer_link.cpp
@@ -290,6 +290,7 @@
         is_relayed ? m_state.daemons.on_relayed_status(status, heard_at) : m_state.daemons.on_status(status, heard_at);
     if (is_new) {
         log_line("daemon joined").add("daemon", status.name).add("boot", status.boot).info();
+        m_state.forget_work_of_ended_daemons();
     }
     if (!is_relayed) {
         tell_open_work(status);
--- a/src/serving/presence.cpp
+++ b/src/serving/presence.cpp
@@ -186,10 +186,7 @@
     if (m_state.role.is_active() && m_heartbeats % relay_interval == 0) {
         m_peers.relay_statuses();
     }
-    for (const auto boot : m_state.daemons.remove_dead(now)) {
-        log_line("daemon silent").add("boot", boot).warn();
-        m_state.load.remove_daemon(boot, now);
-    }
+    m_state.forget_work_of_ended_daemons();
     m_on_heartbeat();
 }
 
--- a/test/correctness/core_serving_limits.cpp
+++ b/test/correctness/core_serving_limits.cpp
@@ -105,6 +105,19 @@
     CHECK(view.recent_max_senders(at(3s)) == 1);
 }
 
+TEST_CASE("a daemon that starts again has ended before, and its earlier boot is returned once") {
+    daemon_view view;
+    daemon_status status;
+    status.boot = 7;
+    status.name = "host-1";
+    view.on_status(status, at(0s));
+    status.boot = 8;
+    CHECK(view.on_status(status, at(1s)));
+    CHECK(view.remove_dead(at(1s)) == std::vector<std::uint64_t>{7});
+    CHECK(view.remove_dead(at(1s)).empty());
+    CHECK(view.members().at("host-1").status.boot == 8);
+}
+
 TEST_CASE("each subject has one responsible daemon, and another one when its heartbeats stop") {
     const std::vector<std::string> names{"host-1", "host-2", "host-3", "host-4", "host-5"};
     std::map<std::string, daemon_view> views;
--- a/test/error/serving_capacity.cpp
+++ b/test/error/serving_capacity.cpp
@@ -23,7 +23,8 @@
 
 // A daemon before one engine with two batch slots, both of which are taken.
 struct full_rig {
-    full_rig() {
+    // `first_daemon` has the requests that take them.
+    explicit full_rig(const std::string& first_daemon = "host-1") {
         const auto& engine = rig.add_server("i-1", [this](const http_request& request, const session_pointer& session) {
             if (request.method == "POST") {
                 running.emplace_back(request, session);
@@ -42,8 +43,14 @@
                       R"("read_per_s":10000,"usual":{"prompt":100,"answer":100}}}]})");
         rig.start_daemon("host-1");
         REQUIRE(rig.run_until_ready("host-1"));
-        rig.call("host-1", short_request("first-1"));
-        rig.call("host-1", short_request("first-2"));
+        if (first_daemon != "host-1") {
+            rig.start_daemon(first_daemon);
+            REQUIRE(rig.run_until_ready(first_daemon));
+            // Until they have heard each other's heartbeats.
+            rig.run_for(2 * heartbeat_period);
+        }
+        rig.call(first_daemon, short_request("first-1"));
+        rig.call(first_daemon, short_request("first-2"));
         REQUIRE(rig.run_until([&] { return running.size() == 2; }));
     }
 
@@ -81,6 +88,21 @@
     CHECK(full.running.size() == 1);
 }
 
+// The requests of a daemon that is killed took batch slots in the view of the others until
+// they expired, seconds later.
+TEST_CASE("a daemon that is killed and starts again takes no batch slots with what it had in progress") {
+    full_rig full("host-2");
+    full.rig.run_for(50ms);
+    const auto& refused = full.rig.call("host-1", short_request("too-many"));
+    REQUIRE(full.rig.run_until([&] { return refused.received().starts_with("HTTP/1.1 503 "); }));
+    full.running.clear();
+    full.rig.start_daemon("host-2");
+    REQUIRE(full.rig.run_until_ready("host-2"));
+    full.rig.run_for(2 * heartbeat_period);
+    full.rig.call("host-1", short_request("next"));
+    CHECK(full.rig.run_until([&] { return full.running.size() == 1; }));
+}
+
 TEST_CASE("a waiting request whose caller has left is not run") {
     full_rig full;
     auto& caller = full.rig.call("host-1", short_request("leaves"));
--- a/test/rig/serving_rig.cpp
+++ b/test/rig/serving_rig.cpp
@@ -216,6 +216,7 @@
 
 void serving_rig::start_daemon(const std::string& name, const std::string& store_address) {
     auto& started_daemon = m_daemons[name];
+    started_daemon.running.reset();
     auto& settings = started_daemon.settings;
     settings.host = host_name(name);
     settings.zone = zone_name("zone-a");
@@ -235,7 +236,7 @@
     // Daemons find each other through the store.
     store.put("daemons", name, encode_daemon_record({name, settings.peer_address, settings.zone, settings.cores}));
     started_daemon.running =
-        std::make_unique<gateway>(*started_daemon.loop, settings, *protocol, rig_start_us, read_again);
+        std::make_unique<gateway>(*started_daemon.loop, settings, *protocol, rig_start_us + m_starts++, read_again);
     std::string fault;
     if (!started_daemon.running->start(fault)) {
         throw std::runtime_error(fault);
--- a/test/rig/serving_rig.hpp
+++ b/test/rig/serving_rig.hpp
@@ -136,7 +136,8 @@
     // From now on the daemon is silent and its connections hang, as after a loss of
     // power.
     void silence_daemon(const std::string& name) { m_daemons.at(name).is_silent = true; }
-    // Starts a daemon of this name; `store_address` replaces the rig's store.
+    // Starts a daemon of this name; `store_address` replaces the rig's store. A running one is
+    // killed before and starts again at other addresses.
     void start_daemon(const std::string& name, const std::string& store_address = {});
     [[nodiscard]] const serving_settings& settings(const std::string& name) const;
     // Adds a backend server of the only service.
@@ -174,6 +175,8 @@
     };
 
     std::map<std::string, running_daemon> m_daemons;
+    // Each start is a run of its own to the other daemons.
+    std::uint64_t m_starts = 0;
     std::vector<std::unique_ptr<scripted_server>> m_servers;
     std::vector<std::unique_ptr<scripted_caller>> m_callers;
 };
