--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -488,6 +488,7 @@
         .add("took_ms", took)
         .add("tokens", m_request.prompt_tokens)
         .add("sent", m_history.sent)
+        .add("longest_gap_ms", m_longest_gap)
         .add("state_version", m_routes ? m_routes->state().version : 0);
     if (outcome == "answered") {
         line.info();
--- a/src/serving/exchange.hpp
+++ b/src/serving/exchange.hpp
@@ -133,6 +133,8 @@
     [[nodiscard]] std::shared_ptr<server_connection> take_connection(const std::string& address);
     [[nodiscard]] forwarding fields_to_add() const;
     void announce_work(work_event event);
+    // Records the time between two events of the answer, also across attempts.
+    void note_gap();
     // Sets the account and the predicted server time, unless an attempt that was not sent
     // announced them already.
     void set_account_use(work_update& update);
@@ -210,6 +212,9 @@
     std::vector<std::string> m_tried_addresses;
     std::optional<server_attempt> m_attempt;
     std::optional<std::int64_t> m_last_event;
+    // When the newest event of the answer arrived; zero before the first.
+    time_point m_newest_event_at{};
+    duration m_longest_gap{};
     std::optional<time_point> m_waiting_since;
     // Value of m_history.sent when the account's use was last announced.
     std::optional<int> m_sent_at_account_use;
--- a/src/serving/exchange_attempts.cpp
+++ b/src/serving/exchange_attempts.cpp
@@ -290,6 +290,7 @@
         return;
     }
     m_attempt->last_event_at = m_state.timers.now();
+    note_gap();
     if (m_attempt->memory) {
         m_attempt->memory->on_used("event");
     }
@@ -327,6 +328,23 @@
     limit_silence_in_stream();
 }
 
+void exchange::note_gap() {
+    const auto now = m_attempt->last_event_at;
+    if (m_newest_event_at == time_point{}) {
+        if (now - m_received_at > m_route->latency_target && m_route->latency_target > duration::zero()) {
+            m_state.counters.add("streams_begun_late");
+        }
+    } else {
+        const auto gap = now - m_newest_event_at;
+        const auto target = m_route->event_gap_target;
+        if (target > duration::zero() && gap > target && m_longest_gap <= target) {
+            m_state.counters.add("streams_with_late_events");
+        }
+        m_longest_gap = std::max(m_longest_gap, gap);
+    }
+    m_newest_event_at = now;
+}
+
 void exchange::on_output_written() {
     if (m_attempt && m_attempt->connection) {
         m_attempt->connection->pause_reading(false);
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -38,6 +38,8 @@
     "requests_blocked",
     "requests_without_room",
     "requests_waiting_for_capacity",
+    "streams_begun_late",
+    "streams_with_late_events",
     "requests_refused_for_capacity",
     "requests_answered",
     "requests_refused",
