Wait for servers that prefill a long prompt in time, and pack its streams

Load: bursts of prompts of 300,000 tokens and more on servers that other streams use. Cause: a long prompt took the first placement of little harm although it made the prompt late, such as two servers for 8 s; the target is 4 s and 17 servers prefill it in 2 s. Each of its streams went to a server of its own, so that few servers were left on which a part stalls nothing. Change: a placement that comes late is not taken while one in time is still possible. Streams of long prompts are packed beside others like them, as short ones already were.

--- a/src/routing/admission.cpp
+++ b/src/routing/admission.cpp
@@ -43,6 +43,10 @@
     return request.waited + predicted <= request.latency_target;
 }
 
+bool can_become_timely(const admission_request& request) {
+    return request.waited + request.shortest <= request.latency_target;
+}
+
 std::optional<std::string_view> reason_to_wait(const admission_request& request, const placement_offer& offer) {
     if (request.latency_target <= duration::zero()) {
         return std::nullopt;
@@ -57,6 +61,9 @@
     if (!timely && to_ms(offer.queueing) > max_queueing_fraction_when_late * to_ms(request.latency_target)) {
         return "the servers are prefilling prompts that can be in time";
     }
+    if (!timely && !request.interactive && can_become_timely(request)) {
+        return "servers that prefill the prompt in time may become free";
+    }
     if (offer.harm > allowed_harm(request, offer.predicted)) {
         return "prefilling the prompt now would make others late";
     }
--- a/src/routing/admission.hpp
+++ b/src/routing/admission.hpp
@@ -39,6 +39,9 @@
     // An interactive stream, of which many compete for each batch slot. Long prompts are few,
     // and would get none if they could not take the last ones.
     bool interactive = true;
+    // Time to the first event if as many servers as possible, all of them idle, shared the
+    // prefill.
+    duration shortest{};
 };
 
 // Batch slots of a server that are left to requests that can still be in time, so that
@@ -48,6 +51,9 @@
 // Whether the request can still meet its target, by the prediction.
 bool is_timely(const admission_request& request, duration predicted);
 
+// Whether it could still meet its target if enough servers became free now.
+bool can_become_timely(const admission_request& request);
+
 // The reason why the request waits for a better placement; empty if it takes this one.
 std::optional<std::string_view> reason_to_wait(const admission_request& request, const placement_offer& offer);
 
--- a/src/routing/placer.cpp
+++ b/src/routing/placer.cpp
@@ -131,6 +131,12 @@
         return best;
     }
 
+    // Time to the first event with all servers that may share a prompt, if they were idle.
+    [[nodiscard]] duration shortest() const {
+        const auto count = std::min(m_servers.size(), max_helpers + 1);
+        return from_ms(m_prefill_ms / static_cast<double>(count) + 1.5 * decode_iteration_ms(m_engine, {}));
+    }
+
 private:
     // Upper limit of the random cost that breaks ties between servers.
     static constexpr double tie_cost = 0.01;
@@ -157,6 +163,12 @@
     // Gain of placing an interactive stream beside another one: it keeps other
     // servers free of interactive streams for long prefills.
     static constexpr double packing_gain = 0.03;
+    // The same for each stream of a longer prompt beside others like it. Servers without
+    // streams can prefill long parts at no cost, so a stream on one of them is in the way of
+    // more than itself. The gain grows with the prompt up to this weight; beyond it, a prompt
+    // would stall the streams that it joins.
+    static constexpr double bulk_packing_gain = 0.3;
+    static constexpr double max_bulk_packing_weight = 4;
     // Cost of each server that takes part.
     static constexpr double server_cost = 0.07;
 
@@ -230,20 +242,33 @@
         return ahead * iterations * server.base_iteration_ms / m_engine.batch_slots;
     }
 
+    // Streams of a server beside which packing places another one.
+    [[nodiscard]] int packed_beside(int streams) const {
+        return std::min(streams, m_engine.batch_slots - slots_left_free_by_packing);
+    }
+
     [[nodiscard]] double primary_cost(const candidate_server& server) const {
         double cost = 0;
         if (!has_slot(server)) {
             cost = m_admits_by_capacity ? no_slot_cost : slot_queueing_cost;
         }
         if (interactive()) {
-            const int joined =
-                std::min(server.load.interactive_sequences, m_engine.batch_slots - slots_left_free_by_packing);
-            cost -= packing_gain * joined;
+            cost -= packing_gain * packed_beside(server.load.interactive_sequences);
         }
         // Held context lengthens each iteration for all sequences that decode there.
         return cost + 1e-6 * static_cast<double>(server.load.context_tokens);
     }
 
+    // What the choice of the server that answers costs if `count` servers share the prompt.
+    [[nodiscard]] double answering_cost(const candidate_server& server, std::size_t count) const {
+        double cost = primary_cost(server) * (count > 1 ? m_weight : 1);
+        if (m_admits_by_capacity && !interactive()) {
+            const int bulk_streams = static_cast<int>(server.load.streams.size()) - server.load.interactive_sequences;
+            cost -= bulk_packing_gain * std::min(m_weight, max_bulk_packing_weight) * packed_beside(bulk_streams);
+        }
+        return cost;
+    }
+
     std::pair<placement, double> spread_over(std::size_t count) {
         std::vector<std::pair<double, std::size_t>> ranked;
         for (std::size_t index = 0; index < m_servers.size(); ++index) {
@@ -253,14 +278,14 @@
             double cost = interference_cost(server, part_ms) + m_tie_costs[index];
             cost += m_weight * lateness_cost(finish_ms, target_ms());
             if (count == 1) {
-                cost += primary_cost(server);
+                cost += answering_cost(server, count);
             }
             ranked.emplace_back(cost, index);
         }
         std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count), ranked.end());
         ranked.resize(count);
         const auto cheapest = std::min_element(ranked.begin(), ranked.end(), [&](const auto& left, const auto& right) {
-            return primary_cost(m_servers[left.second]) < primary_cost(m_servers[right.second]);
+            return answering_cost(m_servers[left.second], count) < answering_cost(m_servers[right.second], count);
         });
         std::iter_swap(ranked.begin(), cheapest);
         return evaluate(ranked, part_ms_on(m_servers[ranked.front().second], count));
@@ -271,7 +296,7 @@
         chosen.part_ms = part_ms;
         const double primary_wait_ms = slot_wait_ms(m_servers[ranked.front().second]);
         double slowest_ms = 0;
-        double cost = primary_cost(m_servers[ranked.front().second]) * (ranked.size() > 1 ? m_weight : 1);
+        double cost = answering_cost(m_servers[ranked.front().second], ranked.size());
         for (std::size_t rank = 0; rank < ranked.size(); ++rank) {
             const auto& server = m_servers[ranked[rank].second];
             slowest_ms = std::max(slowest_ms, part_finish_ms(server, part_ms) + (rank == 0 ? primary_wait_ms : 0));
@@ -379,11 +404,13 @@
     }
     const auto& request = context.request;
     const auto& engine = *request.wanted->engine;
-    if (auto best = spread_search(context, engine, admits_by_capacity).best()) {
+    spread_search search(context, engine, admits_by_capacity);
+    if (auto best = search.best()) {
         const auto max_wait = max_capacity_wait(*request.matched, request.waited + request.time_left);
-        const admission_request asked{request.waited, request.matched->latency_target,
-                                      max_wait,       request_weight(engine, request.prompt_tokens),
-                                      request.yields, is_interactive(request.matched->event_gap_target)};
+        const admission_request asked{request.waited,   request.matched->latency_target,
+                                      max_wait,         request_weight(engine, request.prompt_tokens),
+                                      request.yields,   is_interactive(request.matched->event_gap_target),
+                                      search.shortest()};
         const placement_offer offer{best->predicted, best->queueing, best->harm, best->free_slots};
         if (admits_by_capacity && !request.answer_begun) {
             if (best->predicted - best->queueing >= request.time_left) {
--- a/test/correctness/core_admission.cpp
+++ b/test/correctness/core_admission.cpp
@@ -78,6 +78,17 @@
     CHECK_FALSE(reason_to_wait(late, {1s, 100ms, 0, 8}));
 }
 
+TEST_CASE("a long prompt does not take servers that make it late while others may still prefill it in time") {
+    const placement_offer two_servers{9s, 0ms, 0, 8};
+    const admission_request arrived{0ms, 4s, 6s, 60, false, false, 2s};
+    CHECK(reason_to_wait(arrived, two_servers));
+    auto no_longer_possible = arrived;
+    no_longer_possible.waited = 2'100ms;
+    CHECK_FALSE(reason_to_wait(no_longer_possible, two_servers));
+    const placement_offer enough_servers{3s, 0ms, 0, 8};
+    CHECK_FALSE(reason_to_wait(arrived, enough_servers));
+}
+
 TEST_CASE("a route without a target never waits") {
     CHECK_FALSE(reason_to_wait({0ms, 0ms, 0ms, 1, true}, {1s, 1s, 50, 0}));
 }
