Take turns at the last batch slots in an order that daemons work out alike

Load: short prompts beyond the batch slots of all servers. Cause: each daemon took part in a random 1 of 2n - 1 of its attempts at a server's last two slots. Change: daemons tell each other how many of their requests wait (a power of two, at most 8; Datagram.waiting). At each server they take turns of 20 ms, in the order of a weighted rendezvous hash. While nothing waits, all daemons that share work take turns.

--- a/src/routing/admission.cpp
+++ b/src/routing/admission.cpp
@@ -9,7 +9,7 @@
 // Harm to others that a request may do, as a fraction of its own weight. The fraction
 // grows as its target comes nearer: until then a better placement may turn up at no
 // cost. Late answers are worth about a quarter of those in time.
-constexpr double max_harm_fraction = 0.75;
+constexpr double max_harm_fraction = 0.3;
 constexpr double max_harm_fraction_when_late = 0.2;
 // A request about to be refused may do more, up to this fraction. Much more would stall the
 // streams of many short prompts for one long one.
--- a/src/routing/daemon_view.cpp
+++ b/src/routing/daemon_view.cpp
@@ -106,6 +106,16 @@
     });
 }
 
+std::vector<std::uint64_t> daemon_view::sharing_boots() const {
+    std::vector<std::uint64_t> boots;
+    for (const auto& [name, entry] : m_alive) {
+        if (entry.status.shares_work) {
+            boots.push_back(entry.status.boot);
+        }
+    }
+    return boots;
+}
+
 int daemon_view::senders() const {
     return 1 + static_cast<int>(std::count_if(m_alive.begin(), m_alive.end(),
                                               [](const auto& entry) { return entry.second.status.shares_work; }));
--- a/src/routing/daemon_view.hpp
+++ b/src/routing/daemon_view.hpp
@@ -102,6 +102,8 @@
     // rendezvous hashing over the live active daemons that accept connections. Until all daemons know
     // of a change, there may be two such daemons or none.
     [[nodiscard]] bool is_responsible(const std::string& own_name, std::string_view subject, time_point now) const;
+    // The boots of the other daemons that share work.
+    [[nodiscard]] std::vector<std::uint64_t> sharing_boots() const;
     // Number of daemons that share work, including this one.
     [[nodiscard]] int senders() const;
     // Recent maximum of `senders()`: daemons that can't be heard may still be
--- a/src/routing/engine_load.cpp
+++ b/src/routing/engine_load.cpp
@@ -70,7 +70,10 @@
     request.added = now;
     request.items.push_back(item);
     auto& server = m_servers[item.server];
-    server.load.used_slots += item.decodes ? 1 : 0;
+    if (item.decodes) {
+        ++server.load.used_slots;
+        server.load.slots_changed = now;
+    }
     server.load.context_tokens += item.context_tokens;
     server.max_used_slots = std::max(server.max_used_slots, server.load.used_slots);
     server.max_context_tokens = std::max(server.max_context_tokens, server.load.context_tokens);
@@ -109,14 +112,17 @@
     }
 }
 
-void engine_load::remove_from_servers(work_id id, const tracked_request& request) {
+void engine_load::remove_from_servers(work_id id, const tracked_request& request, time_point now) {
     for (const auto& item : request.items) {
         const auto found = m_servers.find(item.server);
         if (found == m_servers.end()) {
             continue;
         }
         auto& load = found->second.load;
-        load.used_slots -= item.decodes ? 1 : 0;
+        if (item.decodes) {
+            --load.used_slots;
+            load.slots_changed = now;
+        }
         load.context_tokens -= item.context_tokens;
         if (is_stream(item) && found->second.streams.erase(id) > 0) {
             load.interactive_sequences -= is_interactive(item.event_gap_target) ? 1 : 0;
@@ -146,7 +152,7 @@
         return;
     }
     end_prefill(id, found->second, now);
-    remove_from_servers(id, found->second);
+    remove_from_servers(id, found->second, now);
     m_requests.erase(found);
 }
 
--- a/src/routing/engine_load.hpp
+++ b/src/routing/engine_load.hpp
@@ -63,6 +63,8 @@
     double backlog_ms = 0;
     // Execution time relative to the engine's cost model; 2 means half speed.
     double slowdown = 1;
+    // When a batch slot was last taken or became free.
+    time_point slots_changed{};
     std::vector<pending_prefill> pending_prefills;
     std::vector<open_stream> streams;
 };
@@ -154,7 +156,7 @@
         std::int64_t max_context_tokens = 0;
     };
 
-    void remove_from_servers(work_id id, const tracked_request& request);
+    void remove_from_servers(work_id id, const tracked_request& request, time_point now);
     void end_prefill(work_id id, tracked_request& request, time_point now);
 
     std::map<work_id, tracked_request> m_requests;
--- a/src/routing/placer.cpp
+++ b/src/routing/placer.cpp
@@ -104,7 +104,7 @@
             const auto load = context.load.load_of(server->id, context.now);
             m_servers.push_back(
                 {server, load, decode_iteration_ms(engine, load), m_prefill_ms - saved_prefill_ms(*server)});
-            m_servers.back().in_turn = free_slots(m_servers.back()) > contended_slots || in_turn(context.random);
+            m_servers.back().in_turn = free_slots(m_servers.back()) > contended_slots || in_turn(m_servers.back());
             m_tie_costs.push_back(tie(context.random));
         }
         m_weight = request_weight(engine, context.request.prompt_tokens);
@@ -207,11 +207,10 @@
         return m_engine.batch_slots - server.load.used_slots;
     }
 
-    // Several daemons see a batch slot become free at the same moment, and would all take
-    // it. Each takes part in a random fraction of its attempts instead.
-    [[nodiscard]] bool in_turn(std::mt19937_64& random) const {
-        const int turns = 2 * std::max(1, m_request.daemons) - 1;
-        return !m_admits_by_capacity || std::uniform_int_distribution<int>(1, turns)(random) == 1;
+    // Several daemons see a batch slot become free at the same moment, and would all take it.
+    [[nodiscard]] bool in_turn(const candidate_server& server) const {
+        return !m_admits_by_capacity || m_request.turns == nullptr ||
+               m_request.turns->is_own_turn(m_request.contenders, server.server->id, m_now - server.load.slots_changed);
     }
 
     [[nodiscard]] bool has_slot(const candidate_server& server) const {
@@ -262,8 +261,9 @@
     // What the choice of the server that answers costs if `count` servers share the prompt.
     [[nodiscard]] double answering_cost(const candidate_server& server, std::size_t count) const {
         double cost = primary_cost(server) * (count > 1 ? m_weight : 1);
-        if (m_admits_by_capacity && !interactive()) {
-            const int bulk_streams = static_cast<int>(server.load.streams.size()) - server.load.interactive_sequences;
+        // Beside interactive streams it would stall those.
+        if (m_admits_by_capacity && !interactive() && server.load.interactive_sequences == 0) {
+            const int bulk_streams = static_cast<int>(server.load.streams.size());
             cost -= bulk_packing_gain * std::min(m_weight, max_bulk_packing_weight) * packed_beside(bulk_streams);
         }
         return cost;
--- a/src/routing/placer.hpp
+++ b/src/routing/placer.hpp
@@ -6,6 +6,7 @@
 #include "engine_load.hpp"
 #include "kept_prefixes.hpp"
 #include "server_registry.hpp"
+#include "slot_turns.hpp"
 
 #include <functional>
 #include <optional>
@@ -31,8 +32,10 @@
     duration waited{};
     // Its client account uses more than its share.
     bool yields = false;
-    // Daemons that place requests on the same servers, this one included.
-    int daemons = 1;
+    // The daemons that have requests for the last free batch slots, this one first. Null: no
+    // other daemon places requests on the same servers.
+    const slot_turns* turns = nullptr;
+    std::span<const slot_turns::contender> contenders;
     // Part of the answer was already sent to the caller; it is lost unless a server
     // continues it.
     bool answer_begun = false;
--- a/src/serving/capacity_waiters.cpp
+++ b/src/serving/capacity_waiters.cpp
@@ -20,6 +20,7 @@
         return false;
     }
     m_callbacks.insert_or_assign(id, std::move(try_again));
+    m_on_change();
     schedule();
     return true;
 }
@@ -27,6 +28,7 @@
 void capacity_waiters::remove(admission_queue::request_id id, bool placed) {
     m_queue.remove(id, placed, m_timers.now());
     m_callbacks.erase(id);
+    m_on_change();
 }
 
 void capacity_waiters::schedule() {
--- a/src/serving/capacity_waiters.hpp
+++ b/src/serving/capacity_waiters.hpp
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <map>
+#include <utility>
 
 namespace verbenahold::serving {
 
@@ -22,6 +23,8 @@
     // requests wait already.
     bool add(admission_queue::request_id id, const waiting_request& request, std::function<void()> try_again);
     void remove(admission_queue::request_id id, bool placed);
+    // Called after each change of the queue.
+    void set_on_change(std::function<void()> on_change) { m_on_change = std::move(on_change); }
     // Whether a request that arrives now is tried before those that wait.
     [[nodiscard]] bool goes_first(const waiting_request& arriving) {
         return m_queue.goes_first(arriving, m_timers.now());
@@ -37,6 +40,7 @@
     loop_timers& m_timers;
     loop_timers::subscription m_timer{};
     admission_queue m_queue;
+    std::function<void()> m_on_change = [] {};
     std::map<admission_queue::request_id, std::function<void()>> m_callbacks;
 };
 
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -209,7 +209,11 @@
         wanted.kept = kept;
     }
     const int daemons = m_state.sharing_daemons();
-    wanted.daemons = daemons;
+    const auto contenders = m_state.turns.contenders(m_state.own_turn_weight(), m_state.daemons.sharing_boots(), now);
+    if (daemons > 1) {
+        wanted.turns = &m_state.turns;
+        wanted.contenders = contenders;
+    }
     wanted.yields = yields_to_others();
     const auto may_send = [&](const server_entry& server) {
         return m_state.statements.may_send(server, now) && m_state.pacer.may_send(server.id, *m_service, daemons, now);
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -146,6 +146,8 @@
         m_peers.send_sound_request(traits, began);
     };
     m_state.notices.on_leaving = [this](const leaving_statement& leaving) { m_peers.send_leaving(leaving); };
+    m_state.notices.on_waiting_changed = [this](int weight) { m_peers.send_waiting(weight); };
+    m_state.waiters.set_on_change([this] { m_state.announce_waiting(); });
     m_state.notices.on_limit_changed = [this](const limit_statement& limit) { m_peers.send_limit(limit); };
 }
 
--- a/src/serving/gateway_state.hpp
+++ b/src/serving/gateway_state.hpp
@@ -29,6 +29,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <utility>
 
 namespace verbenahold::serving {
 
@@ -58,7 +59,7 @@
 };
 
 // Callbacks for what other daemons should learn (on_work, on_server_failure, on_crash,
-// on_sound_request, on_limit_changed, on_leaving) and for the statuses they send. Each may
+// on_sound_request, on_limit_changed, on_leaving, on_waiting_changed) and for the statuses they send. Each may
 // be empty.
 struct peer_notices {
     std::function<void(const daemon_status&)> on_daemon_status;
@@ -68,6 +69,7 @@
     std::function<void(std::span<const request_trait>, time_point began)> on_sound_request;
     std::function<void(const limit_statement&)> on_limit_changed;
     std::function<void(const leaving_statement&)> on_leaving;
+    std::function<void(int weight)> on_waiting_changed;
 };
 
 // When this daemon's configuration last changed; empty before any change. Log lines of
@@ -99,6 +101,7 @@
           placing(lateness_policy{}, boot_of_daemon),
           pacer(chosen.cold),
           repeats(chosen.repeats),
+          turns(boot_of_daemon),
           statements(boot_of_daemon),
           role({chosen.host.value, chosen.peer_address, chosen.zone, chosen.cores}, chosen.zones, daemons),
           random(boot_of_daemon),
@@ -133,6 +136,16 @@
         return std::min(1.0, heard / std::max(1, sharing_daemons()));
     }
 
+    [[nodiscard]] int own_turn_weight() const { return turn_weight(waiters.queue().size(admission_lane::interactive)); }
+
+    // Tells the other daemons if that has changed.
+    void announce_waiting() {
+        const int weight = own_turn_weight();
+        if (std::exchange(announced_turn_weight, weight) != weight && notices.on_waiting_changed) {
+            notices.on_waiting_changed(weight);
+        }
+    }
+
     // Counts a request that this or another daemon sent towards the share of its account.
     void count_account_use(std::uint64_t account, double server_ms) {
         if (!shares.on_sent(account, server_ms, timers.now())) {
@@ -155,6 +168,7 @@
         for (const auto ended : daemons.remove_dead(timers.now())) {
             log_line("daemon ended").add("boot", ended).warn();
             load.remove_daemon(ended, timers.now());
+            turns.remove_daemon(ended);
         }
     }
 
@@ -175,6 +189,7 @@
     placer placing;
     send_pacer pacer;
     retry_budget_share repeats;
+    slot_turns turns;
     server_statements statements;
     crash_attribution crashes;
     daemon_view daemons;
@@ -189,6 +204,7 @@
     planned_stop stop;
     change_times changes;
     int open_requests = 0;
+    int announced_turn_weight = 0;
     // Reservations of memory at servers, and those that no request has used yet.
     int reservations_held = 0;
     int reservations_unused = 0;
--- a/src/serving/peer_link.cpp
+++ b/src/serving/peer_link.cpp
@@ -247,6 +247,10 @@
         m_state.on_report({server_name(report.server()), static_cast<int>(report.requests()),
                            static_cast<std::int64_t>(report.held_tokens()), report.pace(), 0});
     }
+    if (datagram.has_waiting()) {
+        const auto weight = std::min<std::uint32_t>(datagram.waiting(), max_turn_weight);
+        m_state.turns.on_waiting(datagram.boot(), static_cast<int>(weight), now);
+    }
     handle_crash_knowledge(datagram, now);
     for (const auto& limit : datagram.limits()) {
         if (is_readable(limit)) {
@@ -395,6 +399,7 @@
     const auto now = m_state.timers.now();
     wire::Datagram datagram;
     fill_status(*datagram.mutable_status(), m_own_status());
+    datagram.set_waiting(static_cast<std::uint32_t>(m_state.own_turn_weight()));
     add_crash_knowledge(datagram, now);
     add_statements(datagram, now);
     send(datagram, m_state.role.heartbeat_targets_in_zone(now));
@@ -481,6 +486,11 @@
     schedule_flush();
 }
 
+void peer_link::send_waiting(int weight) {
+    m_batch->set_waiting(static_cast<std::uint32_t>(weight));
+    schedule_flush();
+}
+
 void peer_link::send_sound_request(std::span<const request_trait> traits, time_point began) {
     auto& message = *m_batch->add_sound_requests();
     message.mutable_traits()->Add(traits.begin(), traits.end());
--- a/src/serving/peer_link.hpp
+++ b/src/serving/peer_link.hpp
@@ -50,6 +50,7 @@
     void send_crash(const crash_observation& crash);
     void send_limit(const limit_statement& limit);
     void send_leaving(const leaving_statement& leaving);
+    void send_waiting(int weight);
     void send_sound_request(std::span<const request_trait> traits, time_point began);
 
 private:
--- a/test/error/serving_capacity.cpp
+++ b/test/error/serving_capacity.cpp
@@ -103,6 +103,21 @@
     CHECK(full.rig.run_until([&] { return full.running.size() == 1; }));
 }
 
+TEST_CASE("of two daemons with waiting requests one takes a free slot, and the other the next one") {
+    full_rig full("host-2");
+    for (int number = 0; number < 3; ++number) {
+        full.rig.call("host-1", short_request("one-" + std::to_string(number)));
+        full.rig.call("host-2", short_request("two-" + std::to_string(number)));
+        full.rig.run_for(50ms);
+        for (std::size_t waiting = 2; waiting > 0; --waiting) {
+            full.finish_one();
+            REQUIRE(full.rig.run_until([&] { return full.running.size() >= 2; }));
+            full.rig.run_for(60ms);
+            CHECK(full.running.size() == 2);
+        }
+    }
+}
+
 TEST_CASE("a waiting request whose caller has left is not run") {
     full_rig full;
     auto& caller = full.rig.call("host-1", short_request("leaves"));
