Serve callers who arrive while a daemon starts, and find a store that returns sooner

Load: all callers come back after hosts have lost power, some before the store does. Cause: a request that arrived before the first desired state was refused at once, with a Retry-After of 0.5 s. Callers retry once, so most were refused twice. The first call to a silent store held the start up for 1.5 s and a pause of 0.25 s more. Change: such a request waits for the state for up to a second, or a fifth of its time; Retry-After is the time that the daemon has been without state. The first listing is repeated every 250 ms for 3 s.

--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -15,8 +15,16 @@
 // An out-of-time error is sent this long before the caller's deadline: enough
 // for the network path to the caller and one event loop iteration.
 constexpr duration deadline_margin = std::chrono::milliseconds(40);
-// Retry-After before the first desired state is known.
-constexpr duration retry_after_startup = std::chrono::milliseconds(500);
+// Retry-After before the first desired state is known: the store has been out of reach since
+// the start, and an outage is taken to last as long again.
+constexpr duration min_retry_after_startup = std::chrono::milliseconds(500);
+constexpr duration max_retry_after_startup = std::chrono::seconds(3);
+// A request that arrives before the first desired state is known waits this long for it, or
+// this part of its time if that is less. Callers retry once, and after a refusal many would
+// come back before the state is known.
+constexpr duration max_wait_for_state = std::chrono::seconds(1);
+constexpr double max_wait_for_state_fraction = 0.2;
+constexpr duration state_check_period = std::chrono::milliseconds(20);
 // Retry-After for a request that crashed its servers: long, since a retry is
 // likely to crash another one.
 constexpr duration retry_after_crashes = std::chrono::seconds(60);
@@ -49,18 +57,34 @@
 
 void exchange::start() {
     contained([this] {
-        if (admit()) {
+        if (!m_state.routes && may_wait_for_state()) {
+            m_wait_timer = m_state.timers.after(state_check_period, [self = shared_from_this()] {
+                if (!self->m_ended) {
+                    self->start();
+                }
+            });
+        } else if (admit()) {
             place();
         }
     });
 }
 
+bool exchange::may_wait_for_state() const {
+    const auto allowed =
+        m_request.time_limit ? scaled(*m_request.time_limit, max_wait_for_state_fraction) : max_wait_for_state;
+    return m_state.timers.now() - m_received_at < std::min(allowed, max_wait_for_state) && !m_state.stop.has_begun();
+}
+
+duration exchange::retry_after_startup() const {
+    return std::clamp(m_state.timers.now() - time_point{}, min_retry_after_startup, max_retry_after_startup);
+}
+
 bool exchange::resolve() {
     m_routes = m_state.routes;
     m_service = nullptr;
     m_account = nullptr;
     if (!m_routes) {
-        fail(503, "no desired state is known yet", retry_after_startup);
+        fail(503, "no desired state is known yet", retry_after_startup());
         return false;
     }
     const auto path = path_of(m_request.request.target);
@@ -79,7 +103,7 @@
     const double share = std::uniform_real_distribution<double>(0, 1)(m_state.random);
     m_service = m_routes->pick_service(*m_route, share);
     if (m_service == nullptr) {
-        fail(503, "the route has no service", retry_after_startup);
+        fail(503, "the route has no service", min_retry_after_startup);
         return false;
     }
     m_traits = traits();
--- a/src/serving/exchange.hpp
+++ b/src/serving/exchange.hpp
@@ -97,6 +97,9 @@
     // Ends the exchange before a complete answer of a server: with an error, or by
     // cutting off an answer that has begun.
     void give_up_for(early_end cause, std::string_view reason);
+    [[nodiscard]] bool may_wait_for_state() const;
+    // Retry-After while no desired state is known.
+    [[nodiscard]] duration retry_after_startup() const;
     // Matches route, account and service. Returns false if the request was already
     // answered with an error.
     bool admit();
--- a/src/serving/presence.cpp
+++ b/src/serving/presence.cpp
@@ -19,8 +19,12 @@
 constexpr duration second_listing_delay = std::chrono::milliseconds(400);
 constexpr duration third_listing_delay = std::chrono::milliseconds(2'500);
 constexpr duration listing_period = std::chrono::seconds(12);
-constexpr duration min_listing_retry_delay = std::chrono::milliseconds(250);
-constexpr duration max_listing_retry_delay = std::chrono::seconds(2);
+// Until the daemons are listed, the call is repeated at this period on other connections, since
+// a store that was silent when an earlier call began may answer now.
+constexpr duration early_listing_period = std::chrono::milliseconds(250);
+// Later it is repeated less often: the calls of many hosts add up.
+constexpr duration early_listing_time = std::chrono::seconds(3);
+constexpr duration late_listing_period = std::chrono::seconds(2);
 // Delay before this daemon's row is written again after a failure.
 constexpr duration announce_retry_delay = std::chrono::milliseconds(500);
 constexpr duration role_check_period = std::chrono::milliseconds(100);
@@ -38,12 +42,11 @@
     : m_state(state),
       m_peers(peers),
       m_on_part_decided(std::move(on_part_decided)),
-      m_on_heartbeat(std::move(on_heartbeat)),
-      m_listing_retry_delay(min_listing_retry_delay) {}
+      m_on_heartbeat(std::move(on_heartbeat)) {}
 
 void presence::start() {
     write_own_row();
-    list_daemons();
+    list_until_listed();
     m_state.timers.after(second_listing_delay, [this] { list_again_if_active(); });
     m_state.timers.after(third_listing_delay, [this] { list_again_if_active(); });
     m_state.timers.every(listing_period, [this] {
@@ -108,6 +111,15 @@
     }
 }
 
+void presence::list_until_listed() {
+    if (m_listed || m_state.stop.has_begun()) {
+        return;
+    }
+    list_daemons();
+    const bool is_early = m_state.timers.now() < time_point(early_listing_time);
+    m_state.timers.after(is_early ? early_listing_period : late_listing_period, [this] { list_until_listed(); });
+}
+
 void presence::list_daemons(const std::string& first_key) {
     const auto request = m_state.wire.list_rows(store_table::daemon_rows, first_key);
     m_state.calls.call(m_state.settings.store_address, request, {store_call_limit, max_rows_bytes},
@@ -151,11 +163,6 @@
 
 void presence::on_listing_failed(std::string_view reason) {
     log_line("daemons not listed").add("reason", reason).warn();
-    if (m_listed || m_state.stop.has_begun()) {
-        return;
-    }
-    m_state.timers.after(m_listing_retry_delay, [this] { list_daemons(); });
-    m_listing_retry_delay = std::min(m_listing_retry_delay * 2, max_listing_retry_delay);
 }
 
 void presence::on_listed() {
--- a/src/serving/presence.hpp
+++ b/src/serving/presence.hpp
@@ -30,6 +30,8 @@
 
 private:
     void write_own_row();
+    // Lists the daemons, and again until that has succeeded.
+    void list_until_listed();
     // Lists the rows that daemons wrote about themselves, from `first_key` on.
     void list_daemons(const std::string& first_key = {});
     void on_listing(const call_result& result);
@@ -45,7 +47,6 @@
     std::function<void()> m_on_part_decided;
     std::function<void()> m_on_heartbeat;
     bool m_listed = false;
-    duration m_listing_retry_delay;
     std::uint64_t m_heartbeats = 0;
     std::uint64_t m_requests_before = 0;
     double m_requests_per_second = 0;
--- a/test/soak/backend_server.cpp
+++ b/test/soak/backend_server.cpp
@@ -263,7 +263,7 @@
         return seen;
     }
     if (found->second->body != request.body || found->second->target != request.target ||
-        field_value(request.fields, "Verbenahold-Tenant") != "tenant-1") {
+        field_value(request.fields, "Verbenahold-Tenant") != found->second->account) {
         m_journal.unknown_arrivals.push_back(m_id + " got a changed request " + id);
     }
     found->second->arrivals.push_back(seen);
--- a/test/soak/client_load.cpp
+++ b/test/soak/client_load.cpp
@@ -18,6 +18,7 @@
 // A client waits this much longer than its time limit for an answer.
 constexpr double patience_ms = 1'500;
 constexpr double directory_limit_ms = 1'000;
+constexpr double longest_return_ms = 3'000;
 constexpr std::int64_t one_servers_memory = 315'000;
 constexpr int tokens_per_event = 51;
 // Of the streams that may run once, this share is long where all long prompts are.
@@ -158,6 +159,8 @@
         request->deadline_ms = std::round(50 + uniform(random) * (kind.streams ? 2'000 : 250));
     }
     request->target = '/' + kind.name + "/x" + std::to_string(m_sent % 7);
+    const bool second = uniform(random) < m_habits.second_account;
+    request->account = second ? "tenant-2" : "tenant-1";
     const bool has_body = kind.name != "status";
     if (has_body) {
         request->body = "body of " + request->id + std::string(600, '-');
@@ -165,7 +168,7 @@
     text += (has_body ? "POST " : "GET ") + request->target + " HTTP/1.1\r\nHost: " + host_header +
             "\r\nVerbenahold-Attempt-Id: " + request->id +
             "\r\nVerbenahold-Deadline-Ms: " + std::to_string(static_cast<int>(request->deadline_ms)) +
-            "\r\nAuthorization: Bearer " + key + "\r\n";
+            "\r\nAuthorization: Bearer " + (second ? "key-2" : "key-1") + "\r\n";
     if (kind.prompt_tokens > 0) {
         auto tokens = static_cast<std::int64_t>(std::max(60.0, log_normal(random, kind.prompt_tokens, 0.55)));
         const double may_be_long = kind.name == "compare" ? 1 : kind.name == "once" ? share_of_long_single_runs : 0;
@@ -229,6 +232,8 @@
         const auto& head = open.parser.head();
         outcome.status = head.status;
         outcome.attempt_id = field_value(head.fields, "Verbenahold-Attempt-Id");
+        outcome.retry_after_ms =
+            1'000 * std::strtod(std::string(field_value(head.fields, "Retry-After")).c_str(), nullptr);
         outcome.signature = field_value(head.fields, "Verbenahold-Origin-Signature");
     }
     outcome.complete = state == answer_parser::progress::complete;
@@ -294,6 +299,12 @@
                 finish(request, std::move(unanswered));
             }
         }
+        // A caller that was refused comes back when it was told to.
+        const auto& outcome = *requests.back()->outcome;
+        if (outcome.status == 503 && outcome.retry_after_ms > 0) {
+            co_await pause_ms(std::min(outcome.retry_after_ms, longest_return_ms));
+            continue;
+        }
         const double pause = std::exponential_distribution<double>(1 / mean_pause())(random);
         co_await pause_ms(std::clamp(pause - (now_ms() - started), 1.0, 5'000.0));
         // Bytes on a channel with no request waiting belong to no answer.
--- a/test/soak/client_load.hpp
+++ b/test/soak/client_load.hpp
@@ -37,6 +37,8 @@
     double long_prompts = 0.1;
     // The load is this many times the usual one.
     double burst = 1;
+    // Share of requests that carry the second account's key.
+    double second_account = 0.2;
 };
 
 class client_load {
@@ -49,8 +51,6 @@
     void stop() { m_stopping = true; }
     [[nodiscard]] int open_requests() const { return m_open; }
 
-    // The keys that requests carry.
-    std::string key = "key-1";
     // Prefix of routes: requests of the kind go to /PREFIXkind/.
     std::string host_header = "h.example";
 
--- a/test/soak/fault_series.cpp
+++ b/test/soak/fault_series.cpp
@@ -309,6 +309,17 @@
     co_await habit_fault(all, &all.habits.burst, 1, 3, "burst");
 }
 
+awaitable<void> overload(fleet& all) {
+    co_await habit_fault(all, &all.habits.burst, 1, 20, "overload");
+}
+
+// One account sends many times its usual.
+awaitable<void> hot_account(fleet& all) {
+    all.habits.second_account = 0.85;
+    co_await habit_fault(all, &all.habits.burst, 1, 6, "hot account");
+    all.habits.second_account = client_habits{}.second_account;
+}
+
 awaitable<void> clients_leave(fleet& all) {
     co_await habit_fault(all, &all.habits.leaves, 0, 0.3, "clients leave");
 }
@@ -374,6 +385,8 @@
         {"store-some", "the store refuses some callers", store_refuses_some, 3'000},
         {"store-forget", "the store forgets its history", store_forgets, 4'000},
         {"burst", "three times the load", burst, 3'000},
+        {"overload", "more load than the servers can take", overload, 3'000},
+        {"hot-account", "one account sends 25 times its usual", hot_account, 3'000},
         {"leave", "clients leave early", clients_leave},
         {"pipeline", "clients send two requests at once", clients_pipeline},
         {"slow-read", "clients read slowly", clients_read_slowly},
--- a/test/soak/fleet.cpp
+++ b/test/soak/fleet.cpp
@@ -157,7 +157,7 @@
            engine_text() + ',' + plain_text("shop") + ',' + plain_text("shop-b") +
            R"(],"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,)"
            R"("idle-timeout-ms":15000},"tenants":[{"name":"tenant-1","api-keys":[)" +
-           keys + R"(],"priority":1}]})";
+           keys + R"(],"priority":1},{"name":"tenant-2","api-keys":["key-2"],"priority":1}]})";
 }
 
 void fleet::change_desired_state() {
--- a/test/soak/journal.hpp
+++ b/test/soak/journal.hpp
@@ -70,6 +70,7 @@
     // The client gave up or left.
     bool gave_up = false;
     std::size_t body_bytes = 0;
+    double retry_after_ms = 0;
     std::string attempt_id;
     std::string signature;
     std::string body;
@@ -90,6 +91,8 @@
     double sent = 0;
     std::string body;
     std::string target;
+    // The client account whose key it carries.
+    std::string account;
     std::vector<std::shared_ptr<arrival>> arrivals;
     std::optional<client_outcome> outcome;
 };
