--- a/src/routing/slot_turns.cpp
+++ b/src/routing/slot_turns.cpp
@@ -22,10 +22,15 @@
 }  // namespace
 
 int turn_weight(std::size_t waiting) {
-    return static_cast<int>(std::min<std::size_t>(std::bit_ceil(waiting), max_turn_weight)) * (waiting > 0 ? 1 : 0);
+    if (waiting == 0) {
+        return 0;
+    }
+    return static_cast<int>(std::min<std::size_t>(std::bit_ceil(waiting), max_turn_weight));
 }
 
 void slot_turns::on_waiting(std::uint64_t daemon, int weight, time_point now) {
+    // A late datagram of a daemon that has ended would stay forever.
+    std::erase_if(m_others, [&](const auto& entry) { return now - entry.second.heard >= waiting_report_lifetime; });
     if (weight <= 0) {
         m_others.erase(daemon);
         return;
--- a/src/routing/slot_turns.hpp
+++ b/src/routing/slot_turns.hpp
@@ -27,6 +27,12 @@
 
 class slot_turns {
 public:
+    // A daemon that takes turns.
+    struct contender {
+        std::uint64_t daemon = 0;
+        int weight = 1;
+    };
+
     explicit slot_turns(std::uint64_t own_daemon) : m_own(own_daemon) {}
 
     // Another daemon has requests that wait for batch slots, `weight` as from turn_weight().
@@ -35,10 +41,6 @@
     // The daemons that have requests for the slots, this one first, since it asks for one.
     // `own_weight` is that of its waiting requests. If no requests wait anywhere, any of the
     // `sharing` daemons may receive one now.
-    struct contender {
-        std::uint64_t daemon = 0;
-        int weight = 1;
-    };
     [[nodiscard]] std::vector<contender> contenders(int own_weight, std::span<const std::uint64_t> sharing,
                                                     time_point now) const;
     // Whether this daemon has its turn at the server, whose slots were taken or freed last
