--- a/review/standins-2/model_workers.hpp
+++ b/review/standins-2/model_workers.hpp
@@ -13,6 +13,7 @@
 constexpr double event_period_s = 0.1;
 constexpr double heartbeat_s = 1.2;
 constexpr double stall_s = 1.5;
+constexpr double crash_delay_s = 0.02;
 constexpr int slots = 16;
 constexpr int queue = 32;
 inline const std::string harmful_part = "bad0bad0";
@@ -40,6 +41,8 @@
     record& out;
     std::string name = "shade-llm";
     std::map<std::string, std::shared_ptr<model_worker>> by_address;
+    // Events that a worker sends on a harmful prompt before it crashes.
+    int events_before_crash = 0;
     std::mutex mutex;
     std::vector<crash_note> crashes;
     // When a request with the harmful part reached a worker.
@@ -243,15 +246,15 @@
                     head(503, call, "Verbenahold-Not-Executed: 1\r\nAt-Server: " + helper->m_address + "\r\n", ""));
             }
         }
-        if (harmful) {
+        if (harmful && m_service.events_before_crash == 0) {
             crash("begins an answer on the harmful part, attempt " + attempt);
             return false;
         }
-        return stream(connection, call, stopped, id, attempt);
+        return stream(connection, call, stopped, id, attempt, harmful);
     }
 
     bool stream(wire& connection, const message& call, const std::atomic<bool>& stopped, const std::string& id,
-                const std::string& attempt) {
+                const std::string& attempt, bool harmful) {
         const auto usage = call.field("Verbenahold-Token-Usage");
         const int events = std::max(2, std::atoi(usage.c_str() + usage.find(',') + 1) / 51);
         const int first = std::atoi(call.field("Last-Event-Id").c_str()) + 1;
@@ -270,6 +273,11 @@
             if (!connection.write((event == first ? opening : "") + size + text + "\r\n")) {
                 return false;
             }
+            if (harmful && event - first + 1 == m_service.events_before_crash) {
+                wait(connection, stopped, seconds() + crash_delay_s);
+                crash("has begun an answer on the harmful part, attempt " + attempt);
+                return false;
+            }
             if (event < events && !wait(connection, stopped, seconds() + event_period_s)) {
                 if (stopped) {
                     const std::lock_guard lock(m_service.mutex);
