--- a/review/standins-2/stage.hpp
+++ b/review/standins-2/stage.hpp
@@ -275,6 +275,10 @@
         m_fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         const int on = 1;
         ::setsockopt(m_fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+        // The segments of an Ethernet link, so that the peer's buffers have the size that
+        // they have there. Accepted connections inherit it.
+        const int segment = 1460;
+        ::setsockopt(m_fd, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof segment);
         const auto at = address_of(address);
         if (::bind(m_fd, reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0 || ::listen(m_fd, 512) != 0) {
             ::close(m_fd);
