Take an answer that a reset ended during the upload for incomplete

Callers saw: a server answered a long upload at once, with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. The caller got that part as a complete answer, with the server's proof. A stream lost its last events in the same way and was ended as complete.

Cause: the kernel reports a reset of a connection once, to the operation that comes first. While a request is written both operations of server_connection are pending, and boost::asio performs the write first. The write's handler dropped the error, the read after it got a mere end of input, and an answer without a length is complete at such an end. A timeout of sent bytes (TCP_USER_TIMEOUT) is reported in the same way.

Change: the error of a failed write is kept, and an end of input after it is no orderly one. EPIPE is not kept: the kernel gives it where the server's own end (FIN) came before the reset, so an answer that was ended in order, by a server that does not read the rest of the body, stays complete.

The log line "attempt failed" names the server and "Connection reset by peer".

--- a/src/serving/server_connection.cpp
+++ b/src/serving/server_connection.cpp
@@ -133,14 +133,21 @@
     boost::asio::async_write(m_socket, boost::asio::buffer(m_output),
                              [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
                                  self->m_writing = false;
-                                 // A write error is handled by the read, which also gets an answer
-                                 // that the server sent before.
-                                 if (!error) {
-                                     self->m_output = {};
-                                 }
+                                 self->on_written(error);
                              });
 }
 
+// A failed write does not end the request: the read still gets what the server sent before.
+// The kernel reports a reset or a timeout only once, here or to the read, which otherwise
+// sees a mere end. A broken pipe is no such report: the server's end came in order before.
+void server_connection::on_written(const boost::system::error_code& error) {
+    if (!error) {
+        m_output = {};
+    } else if (error != boost::asio::error::broken_pipe) {
+        m_write_error = error;
+    }
+}
+
 void server_connection::read() {
     if (m_reading || m_paused || m_closed) {
         return;
@@ -172,16 +179,20 @@
         handle_progress(m_parser.feed({m_chunk.data(), count}));
         return;
     }
-    if (error == boost::asio::error::eof) {
-        const auto progress = m_parser.feed_end();
-        if (progress == answer_parser::progress::complete) {
-            handle_progress(progress);
-            return;
-        }
-        fail(answer_missing{m_parser.fault(), true});
+    on_input_end(error == boost::asio::error::eof && m_write_error ? m_write_error : error);
+}
+
+void server_connection::on_input_end(const boost::system::error_code& reason) {
+    if (reason != boost::asio::error::eof) {
+        fail(answer_missing{reason.message(), reason == boost::asio::error::connection_reset});
+        return;
+    }
+    const auto progress = m_parser.feed_end();
+    if (progress == answer_parser::progress::complete) {
+        handle_progress(progress);
         return;
     }
-    fail(answer_missing{error.message(), error == boost::asio::error::connection_reset});
+    fail(answer_missing{m_parser.fault(), true});
 }
 
 void server_connection::handle_progress(answer_parser::progress progress) {
--- a/src/serving/server_connection.hpp
+++ b/src/serving/server_connection.hpp
@@ -83,7 +83,9 @@
     void connect();
     void write();
     void read();
+    void on_written(const boost::system::error_code& error);
     void on_read(const boost::system::error_code& error, std::size_t count);
+    void on_input_end(const boost::system::error_code& reason);
     void handle_progress(answer_parser::progress progress);
     void finish();
     void fail(const call_failure& failure);
@@ -98,6 +100,8 @@
     std::array<char, 16'384> m_chunk{};
     answer_parser m_parser;
     answer_callbacks m_callbacks;
+    // Why the connection broke off, if the write found out.
+    boost::system::error_code m_write_error;
     bool m_busy = false;
     bool m_connected = false;
     bool m_closed = false;
