Refuse answers whose status is none of HTTP's

Callers saw, on other systems: a server in trouble answered with the status 000, and the caller got it as an answer. Here a status below 100 was taken for an interim answer, so that what came after its head was read as the answer: with the head and a sound answer sent a moment apart, the caller got the second one with its proof. Where nothing followed, the request was held until its deadline and failed with 504. A status of 600 to 999 was passed on as the server's failure.

Cause: the parser takes any three digits, and answer_parser took each number under 200 for an interim status.

Evidence: "an answer whose status is none of HTTP's is refused" failed on all 25 samples with such a status, on plain and streaming routes and on new and kept connections: 504 after two seconds, 600 and 999 passed on; "an answer after one whose status is none of HTTP's ..." got 200 with the bytes that followed.

Change: answer_parser refuses a head with a status outside of 100 to 599, the range of RFC 9110. The attempt is spent and the caller gets 502 at once; the log line "attempt failed" says "the status 0 is none of HTTP's".

Result: both tests pass, and those of unusual but valid statuses still do.

--- a/src/serving/answer_parser.cpp
+++ b/src/serving/answer_parser.cpp
@@ -15,6 +15,10 @@
 // Limit for bytes in a row that add nothing to a body: interim answers, headers,
 // extensions of chunks and trailers, any of which may come without end.
 constexpr std::size_t max_bytes_without_body = 2 * max_answer_header_bytes;
+// Statuses of HTTP. Below first_final_status an answer is interim.
+constexpr int first_status = 100;
+constexpr int first_final_status = 200;
+constexpr int last_status = 599;
 
 }  // namespace
 
@@ -40,6 +44,14 @@
     make_parser();
 }
 
+std::string answer_parser::head_fault() const {
+    const int status = m_parser->status;
+    if (status < first_status || status > last_status) {
+        return "the status " + std::to_string(status) + " is none of HTTP's";
+    }
+    return {};
+}
+
 void answer_parser::store_head() {
     m_head = {m_parser->status, std::move(m_parser->reason), std::move(m_parser->fields), m_parser->announced_length()};
     m_has_head = true;
@@ -56,8 +68,14 @@
             m_fault = error.message();
             return progress::broken;
         }
+        if (!m_has_head && m_parser->is_header_done()) {
+            m_fault = head_fault();
+            if (!m_fault.empty()) {
+                return progress::broken;
+            }
+        }
         // 1xx answers have no body and precede the final one.
-        const bool is_interim = m_parser->is_header_done() && m_parser->status < 200;
+        const bool is_interim = m_parser->is_header_done() && m_parser->status < first_final_status;
         const bool is_final = m_parser->is_done() && !is_interim;
         if (!is_final && m_bytes_without_body + bytes.size() > max_bytes_without_body) {
             m_fault = "too many bytes that are no part of a body";
--- a/src/serving/answer_parser.hpp
+++ b/src/serving/answer_parser.hpp
@@ -44,6 +44,8 @@
 private:
     // Parses from the front of `bytes` and removes what was used.
     progress parse(std::string_view& bytes);
+    // Why the head that was parsed belongs to no answer; empty if it does.
+    [[nodiscard]] std::string head_fault() const;
     void store_head();
     void make_parser();
 
--- a/test/error/serving_malformed_answers.cpp
+++ b/test/error/serving_malformed_answers.cpp
@@ -41,6 +41,26 @@
     std::string text;
 };
 
+std::vector<sample> wrong_statuses() {
+    std::vector<sample> found;
+    for (const auto* status : {"000", "001", "099", "600", "999"}) {
+        const auto line = "HTTP/1.1 "s + status + " Status";
+        found.push_back({status, answer_with(line, "Content-Length: 29\r\n")});
+        found.push_back({status + " without a body"s, answer_with(line, "Content-Length: 0\r\n", {})});
+        found.push_back({status + " without a length"s, answer_with(line, {}, {})});
+        found.push_back({status + " before an answer"s, answer_with(line, {}, {}) + sound_answer});
+        found.push_back(
+            {status + " around an answer"s,
+             answer_with(line, "Content-Length: " + std::to_string(sound_answer.size()) + "\r\n", {}) + sound_answer});
+    }
+    found.push_back({"an empty status", answer_with("HTTP/1.1  OK", "Content-Length: 29\r\n")});
+    found.push_back({"a status of two digits", answer_with("HTTP/1.1 20 OK", "Content-Length: 29\r\n")});
+    found.push_back({"a status of four digits", answer_with("HTTP/1.1 2000 OK", "Content-Length: 29\r\n")});
+    found.push_back({"a negative status", answer_with("HTTP/1.1 -20 OK", "Content-Length: 29\r\n")});
+    found.push_back({"a control byte in the reason", answer_with("HTTP/1.1 200 O\x01K", "Content-Length: 29\r\n")});
+    return found;
+}
+
 std::vector<sample> wrong_names() {
     std::vector<sample> found;
     for (const int code : {0x00, 0x01, 0x09, 0x0b, 0x0d, 0x1f, 0x20, 0x22, 0x28, 0x2f, 0x5b, 0x7b, 0x7f, 0x80, 0xff}) {
@@ -175,6 +195,22 @@
 
 }  // namespace
 
+TEST_CASE("an answer whose status is none of HTTP's is refused") {
+    check_refused(wrong_statuses());
+}
+
+TEST_CASE("an answer after one whose status is none of HTTP's is not the request's") {
+    const auto status = GENERATE("000"s, "099"s);
+    CAPTURE(status);
+    answer_rig rig;
+    rig.text = answer_with("HTTP/1.1 " + status + " Status", "Content-Length: 29\r\n", {});
+    rig.text_after = sound_answer;
+    REQUIRE(rig.run_until_ready("host-1"));
+    auto& caller = rig.ask("/unsafe/x");
+    CHECK(is_status(caller, 502));
+    CHECK(caller.received().find("from the server") == std::string::npos);
+}
+
 TEST_CASE("an answer with a blank or a control byte in the name of a field is refused") {
     check_refused(wrong_names());
 }
