Refuse answers with a body that their status does not allow

Callers would see: an answer hidden in what is no answer. A 101 was taken for an interim answer, and the bytes of the other protocol for the caller's answer; of an interim answer that announces a body, the body was; a 204 that announces a body was passed on as an empty success.

Cause: by HTTP such heads end with their empty line, whatever they announce, and answer_parser read on behind them. The server means something else, so nothing after the head can be trusted.

Change: 101, and 1xx and 204 with chunks or a length over zero, are broken. A length of zero, any length in a 304 or in the answer to HEAD, and interim answers without a body still pass, which "an answer that is unusual but valid ..." and "an answer that has no body by its status ..." hold.

--- a/src/serving/answer_parser.cpp
+++ b/src/serving/answer_parser.cpp
@@ -19,6 +19,8 @@
 constexpr int first_status = 100;
 constexpr int first_final_status = 200;
 constexpr int last_status = 599;
+constexpr int status_switching_protocols = 101;
+constexpr int status_no_content = 204;
 
 }  // namespace
 
@@ -49,6 +51,14 @@
     if (status < first_status || status > last_status) {
         return "the status " + std::to_string(status) + " is none of HTTP's";
     }
+    // Requests ask for no other protocol.
+    if (status == status_switching_protocols) {
+        return "a change of protocol that was not asked for";
+    }
+    const bool never_has_body = status < first_final_status || status == status_no_content;
+    if (never_has_body && (m_parser->chunked() || m_parser->announced_length().value_or(0) > 0)) {
+        return "a body that the status " + std::to_string(status) + " does not allow";
+    }
     return {};
 }
 
--- a/test/error/serving_malformed_answers.cpp
+++ b/test/error/serving_malformed_answers.cpp
@@ -61,6 +61,19 @@
     return found;
 }
 
+std::vector<sample> wrong_interims() {
+    const auto around = [](const std::string& status_line) {
+        return status_line + "\r\nContent-Length: " + std::to_string(sound_answer.size()) + "\r\n\r\n" + sound_answer;
+    };
+    return {
+        {"a change of protocol", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + sound_answer},
+        {"an interim answer with a body", around("HTTP/1.1 103 Early Hints")},
+        {"an interim answer in chunks", "HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked\r\n\r\n" + sound_answer},
+        {"no content with a body", answer_with("HTTP/1.1 204 No Content", "Content-Length: 29\r\n")},
+        {"no content in chunks",
+         answer_with("HTTP/1.1 204 No Content", "Transfer-Encoding: chunked\r\n", "0\r\n\r\n")}};
+}
+
 std::vector<sample> wrong_names() {
     std::vector<sample> found;
     for (const int code : {0x00, 0x01, 0x09, 0x0b, 0x0d, 0x1f, 0x20, 0x22, 0x28, 0x2f, 0x5b, 0x7b, 0x7f, 0x80, 0xff}) {
@@ -211,6 +224,10 @@
     CHECK(caller.received().find("from the server") == std::string::npos);
 }
 
+TEST_CASE("an answer with a body that its status does not allow is refused") {
+    check_refused(wrong_interims());
+}
+
 TEST_CASE("an answer with a blank or a control byte in the name of a field is refused") {
     check_refused(wrong_names());
 }
