Refuse answers in a transfer coding other than chunked

Callers would see: a body that is not the server's. The field Transfer-Encoding ends at this daemon, so a body in another coding ("gzip", "gzip, chunked", "chunked, gzip") went to the caller encoded and without a word of that; where chunked was not the last coding, the frames of the chunks went with it. On streaming routes the first events came with 200 and the proof; on plain routes as soon as the connection ended.

Cause: the parser takes a message whose last coding is not chunked as one without a length, and does not tell other codings. Requests were checked for this; answers were not.

Lengths, chunk sizes and versions that are none were refused before.

Change: the check of codings moves from request_reader to message_parser, and answer_parser asks it too. A server may use codings only if the request names them in TE, which is never forwarded.

--- a/src/serving/answer_parser.cpp
+++ b/src/serving/answer_parser.cpp
@@ -59,7 +59,7 @@
     if (never_has_body && (m_parser->chunked() || m_parser->announced_length().value_or(0) > 0)) {
         return "a body that the status " + std::to_string(status) + " does not allow";
     }
-    return {};
+    return std::string(m_parser->coding_fault());
 }
 
 void answer_parser::store_head() {
--- a/src/serving/message_parser.hpp
+++ b/src/serving/message_parser.hpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -42,6 +43,23 @@
         return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
     }
 
+    // Why the transfer coding leaves the message's end or body uncertain; empty if it does
+    // not. Valid once the header is done, before the fields are moved.
+    [[nodiscard]] std::string_view coding_fault() const {
+        const auto is_coding = [](const header_field& field) {
+            return same_field_name(field.name, "Transfer-Encoding");
+        };
+        const auto codings = std::count_if(fields.begin(), fields.end(), is_coding);
+        if (codings == 0) {
+            return {};
+        }
+        const auto coding = field_value(fields, "Transfer-Encoding");
+        if (codings > 1 || !same_field_name(coding, "chunked") || is_http_1_0) {
+            return "a transfer coding other than chunked";
+        }
+        return {};
+    }
+
 private:
     using error_code = boost::beast::error_code;
     using string_view = boost::beast::string_view;
--- a/src/serving/request_reader.cpp
+++ b/src/serving/request_reader.cpp
@@ -94,32 +94,21 @@
 
 std::string_view request_reader::framing_fault() const {
     std::size_t lengths = 0;
-    std::size_t codings = 0;
     std::string_view length;
-    std::string_view coding;
     for (const auto& field : m_parser->fields) {
         if (same_field_name(field.name, "Content-Length")) {
             ++lengths;
             length = field.value;
-        } else if (same_field_name(field.name, "Transfer-Encoding")) {
-            ++codings;
-            coding = field.value;
         }
     }
     const auto is_digit = [](char letter) { return letter >= '0' && letter <= '9'; };
     if (lengths > 1 || !std::all_of(length.begin(), length.end(), is_digit)) {
         return "several lengths, or one that is no number";
     }
-    if (codings == 0) {
-        return {};
-    }
-    if (lengths > 0) {
+    if (lengths > 0 && !field_value(m_parser->fields, "Transfer-Encoding").empty()) {
         return "a length and a transfer coding";
     }
-    if (codings > 1 || !same_field_name(coding, "chunked") || m_parser->is_http_1_0) {
-        return "a transfer coding other than chunked";
-    }
-    return {};
+    return m_parser->coding_fault();
 }
 
 http_request request_reader::take_request() {
--- a/test/error/serving_malformed_answers.cpp
+++ b/test/error/serving_malformed_answers.cpp
@@ -110,6 +110,33 @@
             {"a line that ends without a carriage return", answer_with_line("Name: a\nName: b")}};
 }
 
+std::vector<sample> wrong_framings() {
+    std::vector<sample> found;
+    for (const auto* coding : {"gzip", "identity", "xchunked", "chunked, gzip", "gzip, chunked", "chunked, chunked",
+                               "chunked\r\nTransfer-Encoding: gzip", "gzip\r\nTransfer-Encoding: chunked", ""}) {
+        const auto fields = "Transfer-Encoding: "s + coding + "\r\n";
+        found.push_back({"coding "s + coding, answer_with("HTTP/1.1 200 OK", fields)});
+        found.push_back({"chunks and coding "s + coding,
+                         answer_with("HTTP/1.1 200 OK", fields, "1d\r\n" + event + "\r\n0\r\n\r\n")});
+    }
+    for (const auto* length : {"+29", "-29", "0x1d", "29x", "29 29", "29, 30", "29\r\nContent-Length: 30",
+                               "29\r\nTransfer-Encoding: chunked", "", "99999999999999999999999"}) {
+        found.push_back({"length "s + length, answer_with("HTTP/1.1 200 OK", "Content-Length: "s + length + "\r\n")});
+    }
+    for (const auto* size : {"", "x", "-1d", "+1d", "0x1d", "1d x", "1d;a b", "100000000000000000"}) {
+        found.push_back({"chunk size "s + size, answer_with("HTTP/1.1 200 OK", "Transfer-Encoding: chunked\r\n",
+                                                            size + "\r\n"s + event + "\r\n0\r\n\r\n")});
+    }
+    found.push_back({"a chunk longer than its size", answer_with("HTTP/1.1 200 OK", "Transfer-Encoding: chunked\r\n",
+                                                                 "1c\r\n" + event + "\r\n0\r\n\r\n")});
+    found.push_back({"chunks in HTTP 1.0", answer_with("HTTP/1.0 200 OK", "Transfer-Encoding: chunked\r\n",
+                                                       "1d\r\n" + event + "\r\n0\r\n\r\n")});
+    for (const auto* version : {"HTTP/0.9", "HTTP/1.2", "HTTP/2.0", "HTTP/11", "http/1.1", "ICY"}) {
+        found.push_back({version, answer_with(version + " 200 OK"s, "Content-Length: 29\r\n")});
+    }
+    return found;
+}
+
 std::string with_id(std::string text, const http_request& request) {
     const auto id = field_value(request.fields, "Verbenahold-Attempt-Id");
     for (auto found = text.find(id_mark); found != std::string::npos; found = text.find(id_mark)) {
@@ -236,6 +263,10 @@
     check_refused(wrong_values());
 }
 
+TEST_CASE("an answer whose end can't be told is refused") {
+    check_refused(wrong_framings());
+}
+
 TEST_CASE("an unusual but valid status is passed on with its reason, proof and body") {
     answer_rig rig;
     REQUIRE(rig.run_until_ready("host-1"));
