Test malformed answers in resumed streams and in calls

The same samples as for requests, in two other places that read answers: a server that should continue a stream, whose bytes must not be written into it (the caller's connection is reset), and the daemon's own calls (orders, reports, the store, other daemons), which must fail with a reason and leave no connection for reuse. The samples move to a header of the rig.

--- a/test/error/serving_malformed_answers.cpp
+++ b/test/error/serving_malformed_answers.cpp
@@ -2,6 +2,7 @@
 // HTTP. Guards against such bytes, or an answer that is hidden in them, reaching a caller as
 // an answer, and against sound but unusual answers that are refused.
 #include "log_recorder.hpp"
+#include "malformed_answers.hpp"
 #include "serving_rig.hpp"
 
 #include <boost/asio/steady_timer.hpp>
@@ -11,6 +12,7 @@
 #include <algorithm>
 
 using namespace verbenahold;
+using namespace verbenahold::samples;
 using namespace verbenahold::serving;
 using namespace std::chrono_literals;
 using namespace std::string_literals;
@@ -19,124 +21,6 @@
 
 using session_pointer = std::shared_ptr<scripted_server::session>;
 
-// In a text, the place of the request's id.
-constexpr std::string_view id_mark = "{id}";
-const std::string own_fields = "Verbenahold-Attempt-Id: {id}\r\nVerbenahold-Origin-Signature: proof\r\n";
-const std::string event = "id: 1\ndata: from the server\n\n";
-const std::string sound_answer = "HTTP/1.1 200 OK\r\n" + own_fields + "Content-Length: 29\r\n\r\n" + event;
-
-// An answer with this status line and these further header lines, each with its line end.
-std::string answer_with(const std::string& status_line, const std::string& fields, const std::string& body = event) {
-    return status_line + "\r\n" + own_fields + fields + "\r\n" + body;
-}
-
-// An answer of status 200 with these header lines beside a sound length.
-std::string answer_with_line(const std::string& line) {
-    return answer_with("HTTP/1.1 200 OK", line + "\r\nContent-Length: 29\r\n");
-}
-
-struct sample {
-    std::string name;
-    // Holds id_mark.
-    std::string text;
-};
-
-std::vector<sample> wrong_statuses() {
-    std::vector<sample> found;
-    for (const auto* status : {"000", "001", "099", "600", "999"}) {
-        const auto line = "HTTP/1.1 "s + status + " Status";
-        found.push_back({status, answer_with(line, "Content-Length: 29\r\n")});
-        found.push_back({status + " without a body"s, answer_with(line, "Content-Length: 0\r\n", {})});
-        found.push_back({status + " without a length"s, answer_with(line, {}, {})});
-        found.push_back({status + " before an answer"s, answer_with(line, {}, {}) + sound_answer});
-        found.push_back(
-            {status + " around an answer"s,
-             answer_with(line, "Content-Length: " + std::to_string(sound_answer.size()) + "\r\n", {}) + sound_answer});
-    }
-    found.push_back({"an empty status", answer_with("HTTP/1.1  OK", "Content-Length: 29\r\n")});
-    found.push_back({"a status of two digits", answer_with("HTTP/1.1 20 OK", "Content-Length: 29\r\n")});
-    found.push_back({"a status of four digits", answer_with("HTTP/1.1 2000 OK", "Content-Length: 29\r\n")});
-    found.push_back({"a negative status", answer_with("HTTP/1.1 -20 OK", "Content-Length: 29\r\n")});
-    found.push_back({"a control byte in the reason", answer_with("HTTP/1.1 200 O\x01K", "Content-Length: 29\r\n")});
-    return found;
-}
-
-std::vector<sample> wrong_interims() {
-    const auto around = [](const std::string& status_line) {
-        return status_line + "\r\nContent-Length: " + std::to_string(sound_answer.size()) + "\r\n\r\n" + sound_answer;
-    };
-    return {
-        {"a change of protocol", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + sound_answer},
-        {"an interim answer with a body", around("HTTP/1.1 103 Early Hints")},
-        {"an interim answer in chunks", "HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked\r\n\r\n" + sound_answer},
-        {"no content with a body", answer_with("HTTP/1.1 204 No Content", "Content-Length: 29\r\n")},
-        {"no content in chunks",
-         answer_with("HTTP/1.1 204 No Content", "Transfer-Encoding: chunked\r\n", "0\r\n\r\n")}};
-}
-
-std::vector<sample> wrong_names() {
-    std::vector<sample> found;
-    for (const int code : {0x00, 0x01, 0x09, 0x0b, 0x0d, 0x1f, 0x20, 0x22, 0x28, 0x2f, 0x5b, 0x7b, 0x7f, 0x80, 0xff}) {
-        const std::string letter(1, static_cast<char>(code));
-        const auto name = "byte " + std::to_string(code);
-        found.push_back({name + " in a name", answer_with_line("Na" + letter + "me: x")});
-        found.push_back({name + " after a name", answer_with_line("Name" + letter + ": x")});
-        found.push_back({name + " after Content-Length",
-                         answer_with("HTTP/1.1 200 OK", "Content-Length" + letter + ": 4\r\nContent-Length: 29\r\n")});
-        found.push_back({name + " after the only Content-Length",
-                         answer_with("HTTP/1.1 200 OK", "Content-Length" + letter + ": 29\r\n")});
-        found.push_back({name + " after Transfer-Encoding",
-                         answer_with("HTTP/1.1 200 OK", "Transfer-Encoding" + letter + ": chunked\r\n",
-                                     "1d\r\n" + event + "\r\n0\r\n\r\n")});
-        found.push_back({name + " in an interim answer's name",
-                         "HTTP/1.1 103 Early Hints\r\nNa" + letter + "me: x\r\n\r\n" + sound_answer});
-        found.push_back(
-            {name + " in a trailer's name", answer_with("HTTP/1.1 200 OK", "Transfer-Encoding: chunked\r\n",
-                                                        "1d\r\n" + event + "\r\n0\r\nNa" + letter + "me: x\r\n\r\n")});
-    }
-    found.push_back({"an empty name", answer_with_line(": x")});
-    found.push_back({"a line without a colon", answer_with_line("Name")});
-    found.push_back({"a blank before the first name",
-                     "HTTP/1.1 200 OK\r\n Name: x\r\n" + own_fields + "Content-Length: 29\r\n\r\n" + event});
-    return found;
-}
-
-std::vector<sample> wrong_values() {
-    return {{"a zero byte in a value", answer_with_line("Name: a\0b"s)},
-            {"a control byte in a value", answer_with_line("Name: a\x01"
-                                                           "b")},
-            {"a carriage return in a value", answer_with_line("Name: a\rb")},
-            {"a line feed in a value", answer_with_line("Name: a\nb")},
-            {"a line that ends without a carriage return", answer_with_line("Name: a\nName: b")}};
-}
-
-std::vector<sample> wrong_framings() {
-    std::vector<sample> found;
-    for (const auto* coding : {"gzip", "identity", "xchunked", "chunked, gzip", "gzip, chunked", "chunked, chunked",
-                               "chunked\r\nTransfer-Encoding: gzip", "gzip\r\nTransfer-Encoding: chunked", ""}) {
-        const auto fields = "Transfer-Encoding: "s + coding + "\r\n";
-        found.push_back({"coding "s + coding, answer_with("HTTP/1.1 200 OK", fields)});
-        found.push_back({"chunks and coding "s + coding,
-                         answer_with("HTTP/1.1 200 OK", fields, "1d\r\n" + event + "\r\n0\r\n\r\n")});
-    }
-    for (const auto* length : {"+29", "-29", "0x1d", "29x", "29 29", "29, 30", "29\r\nContent-Length: 30",
-                               "29\r\nTransfer-Encoding: chunked", "", "99999999999999999999999"}) {
-        found.push_back({"length "s + length, answer_with("HTTP/1.1 200 OK", "Content-Length: "s + length + "\r\n")});
-    }
-    for (const auto* size : {"", "x", "-1d", "+1d", "0x1d", "1d x", "1d;a b", "100000000000000000"}) {
-        found.push_back({"chunk size "s + size, answer_with("HTTP/1.1 200 OK", "Transfer-Encoding: chunked\r\n",
-                                                            size + "\r\n"s + event + "\r\n0\r\n\r\n")});
-    }
-    found.push_back({"a chunk longer than its size", answer_with("HTTP/1.1 200 OK", "Transfer-Encoding: chunked\r\n",
-                                                                 "1c\r\n" + event + "\r\n0\r\n\r\n")});
-    found.push_back({"chunks in HTTP 1.0", answer_with("HTTP/1.0 200 OK", "Transfer-Encoding: chunked\r\n",
-                                                       "1d\r\n" + event + "\r\n0\r\n\r\n")});
-    for (const auto* version : {"HTTP/0.9", "HTTP/1.2", "HTTP/2.0", "HTTP/11", "http/1.1", "ICY"}) {
-        found.push_back({version, answer_with(version + " 200 OK"s, "Content-Length: 29\r\n")});
-    }
-    return found;
-}
-
 std::string with_id(std::string text, const http_request& request) {
     const auto id = field_value(request.fields, "Verbenahold-Attempt-Id");
     for (auto found = text.find(id_mark); found != std::string::npos; found = text.find(id_mark)) {
@@ -208,7 +92,7 @@
 
 // The caller gets this daemon's failure at once, nothing of the server's bytes, and the
 // request runs once.
-void check_refused(const std::vector<sample>& samples) {
+void check_refused(const std::vector<answer_sample>& samples) {
     const auto path = GENERATE("/unsafe/x"s, "/stream/x"s);
     const bool on_kept_connection = GENERATE(false, true);
     const log_recorder log;
@@ -267,6 +151,82 @@
     check_refused(wrong_framings());
 }
 
+TEST_CASE("a malformed answer of the server that should continue a stream is not written into it") {
+    serving_rig rig;
+    std::string text;
+    std::map<std::string, int, std::less<>> attempts;
+    // Each sample costs a repeat.
+    rig.repeats.allowance = 1'000;
+    const auto begin_and_fail = [&](const http_request& request, const session_pointer& session) {
+        if (++attempts[std::string(field_value(request.fields, "Verbenahold-Attempt-Id"))] > 1) {
+            session->write(with_id(text, request));
+            return;
+        }
+        session->write(stream_head(request) + stream_chunk(1));
+        session->reset();
+    };
+    rig.add_server("i-1", begin_and_fail);
+    rig.add_server("i-2", begin_and_fail);
+    rig.put_desired_state();
+    rig.start_daemon("host-1");
+    REQUIRE(rig.run_until_ready("host-1"));
+    auto samples = wrong_statuses();
+    for (const auto& more : {wrong_interims(), wrong_values(), wrong_framings()}) {
+        samples.insert(samples.end(), more.begin(), more.end());
+    }
+    for (std::size_t index = 0; index < samples.size(); ++index) {
+        CAPTURE(samples[index].name);
+        text = samples[index].text;
+        const auto id = "a-" + std::to_string(index);
+        auto& caller = rig.call("host-1", request_text("POST", "/resumable/x", id, "prompt"));
+        REQUIRE(rig.run_until([&] { return caller.ended() || caller.received().ends_with(stream_end); }));
+        CHECK(attempts[id] == 2);
+        CHECK(caller.was_reset());
+        CHECK(caller.received().find("HTTP/1.1", 1) == std::string::npos);
+        CHECK(caller.received().find("from the server") == std::string::npos);
+    }
+}
+
+TEST_CASE("a call whose answer is malformed fails, on new and kept connections") {
+    const bool on_kept_connection = GENERATE(false, true);
+    std::string text;
+    boost::asio::io_context loop;
+    metrics counters;
+    handler_guard guard(counters);
+    loop_timers timers(loop, guard);
+    http_client client(loop, timers);
+    const scripted_server server(loop, [&](const http_request& request, const session_pointer& session) {
+        session->write(request.target == "/sound" ? proved_answer(request, "fine") : text);
+    });
+    const auto call = [&](const std::string& target) {
+        std::optional<call_result> result;
+        client.call(server.address(), {"POST", target, {}, "order"}, {1s, max_rows_bytes},
+                    [&](const call_result& done) { result = done; });
+        for (const auto end = std::chrono::steady_clock::now() + 5s;
+             !result && std::chrono::steady_clock::now() < end;) {
+            loop.run_one_for(10ms);
+            loop.restart();
+        }
+        REQUIRE(result);
+        return *result;
+    };
+    for (const auto& samples : {wrong_statuses(), wrong_interims(), wrong_names(), wrong_values(), wrong_framings()}) {
+        for (const auto& sample : samples) {
+            CAPTURE(sample.name, on_kept_connection);
+            text = sample.text;
+            const auto opened = client.opened();
+            if (on_kept_connection) {
+                REQUIRE(call("/sound").answer);
+            }
+            const auto result = call("/x");
+            CHECK_FALSE(result.answer);
+            CHECK_FALSE(result.failure.empty());
+            CHECK(result.failure != "no answer within the time limit");
+            CHECK(client.opened() == opened + 1);
+        }
+    }
+}
+
 TEST_CASE("an unusual but valid status is passed on with its reason, proof and body") {
     answer_rig rig;
     REQUIRE(rig.run_until_ready("host-1"));
@@ -288,7 +248,7 @@
     const auto chunked = [](const std::string& coding, const std::string& body) {
         return answer_with("HTTP/1.1 200 OK", coding + "\r\n", body);
     };
-    const std::vector<sample> samples{
+    const std::vector<answer_sample> samples{
         {"interim answers before it",
          "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\nName: x\r\n\r\n"
          "HTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\n\r\n" +
