Pass on answers without a body on streaming routes without chunks

Callers saw: on a streaming route, an answer of status 204 or to HEAD came with "Transfer-Encoding: chunked" and was followed by the last chunk. Such an answer ends with its head, so "0\r\n\r\n" stood on the connection where the next answer was due. A 204 of the server that should continue a stream ended the stream as complete.

Cause: exchange took each proved success on a streaming route for a stream, also one that can't have a body.

Evidence: "an answer without a body on a streaming route is passed on without chunks" failed for both on the code before.

Change: an answer without a body goes the way of answers that are no streams, and one that should continue a stream and is none fails the attempt. Result: the test passes, with one more sample in that of resumed streams.

--- a/src/serving/answer_parser.cpp
+++ b/src/serving/answer_parser.cpp
@@ -20,7 +20,6 @@
 constexpr int first_final_status = 200;
 constexpr int last_status = 599;
 constexpr int status_switching_protocols = 101;
-constexpr int status_no_content = 204;
 
 }  // namespace
 
--- a/src/serving/exchange_attempts.cpp
+++ b/src/serving/exchange_attempts.cpp
@@ -231,9 +231,9 @@
     }
     note_statements();
     const bool success = head.status >= 200 && head.status < 300;
+    const bool has_body = m_request.request.method != "HEAD" && head.status != status_no_content;
     m_attempt->streams =
-        success && decoded.proved && !decoded.not_executed && m_route->form == answer_form::event_stream;
-    const bool has_body = m_request.request.method != "HEAD";
+        success && has_body && decoded.proved && !decoded.not_executed && m_route->form == answer_form::event_stream;
     if (!m_attempt->streams && has_body && head.announced_length.value_or(0) > max_answer_bytes) {
         handle_outcome(attempt_outcome_unknown{}, "the announced length of the answer is too large");
         return false;
@@ -401,6 +401,10 @@
         handle_outcome(attempt_outcome_unknown{}, "the answer bears no proof");
         return;
     }
+    if (m_history.answer_begun) {
+        handle_outcome(attempt_outcome_unknown{}, "the answer that should continue a stream is none");
+        return;
+    }
     m_state.servers.report_success(current.server);
     note_sound(m_state.timers.now());
     m_attempt->succeeded = success;
--- a/src/serving/http_types.hpp
+++ b/src/serving/http_types.hpp
@@ -12,6 +12,9 @@
 
 namespace verbenahold::serving {
 
+// Of answers that never have a body.
+inline constexpr int status_no_content = 204;
+
 struct header_field {
     std::string name;
     std::string value;
--- a/test/error/serving_malformed_answers.cpp
+++ b/test/error/serving_malformed_answers.cpp
@@ -171,6 +171,7 @@
     rig.start_daemon("host-1");
     REQUIRE(rig.run_until_ready("host-1"));
     auto samples = wrong_statuses();
+    samples.push_back({"no content", answer_with("HTTP/1.1 204 No Content", {}, {})});
     for (const auto& more : {wrong_interims(), wrong_values(), wrong_framings()}) {
         samples.insert(samples.end(), more.begin(), more.end());
     }
@@ -318,3 +319,21 @@
     // The connection carried both requests.
     CHECK(rig.reused);
 }
+
+TEST_CASE("an answer without a body on a streaming route is passed on without chunks") {
+    const auto status_line = GENERATE("HTTP/1.1 204 No Content"s, "HTTP/1.1 200 OK"s);
+    const auto method = status_line.find("200") == std::string::npos ? "POST"s : "HEAD"s;
+    CAPTURE(status_line);
+    answer_rig rig;
+    rig.text = answer_with(status_line, "Content-Type: text/event-stream\r\n", {});
+    REQUIRE(rig.run_until_ready("host-1"));
+    auto& caller = rig.ask("/stream/x", method);
+    CHECK(caller.received().starts_with(status_line));
+    CHECK(caller.received().find("Origin-Signature: proof") != std::string::npos);
+    CHECK(caller.received().find("Transfer-Encoding") == std::string::npos);
+    const auto first = caller.received();
+    caller.send(request_text("POST", "/unsafe/sound", "b-1", "order"));
+    REQUIRE(rig.run_until([&] { return caller.ended() || caller.received().ends_with("fine"); }));
+    CHECK(first.ends_with("\r\n\r\n"));
+    CHECK(caller.received().substr(first.size()).starts_with("HTTP/1.1 200 OK"));
+}
