Refuse an answer's body that is in a content coding

Callers saw: a server's answer with Content-Encoding came to them with the server's proof and status, on plain and streaming routes. On the platform such a body is not the server's: callers ask for none.

Cause: nothing looked at the field. Evidence: "an answer in a content coding is refused ..." failed for statuses 200 and 500 on both kinds of route.

Change: the wire protocol tells that an answer is coded, and exchange gives up the attempt at the head: 502 without the proof, and "the body is in a content coding" in the log line. A rejection that states that the request did not run still counts, since its body is not passed on.

--- a/src/serving/exchange_attempts.cpp
+++ b/src/serving/exchange_attempts.cpp
@@ -232,6 +232,11 @@
     note_statements();
     const bool success = head.status >= 200 && head.status < 300;
     const bool has_body = m_request.request.method != "HEAD" && head.status != status_no_content;
+    // Of an answer that states that the request did not run, the body is not passed on.
+    if (has_body && decoded.coded && !decoded.not_executed) {
+        handle_outcome(attempt_outcome_unknown{}, "the body is in a content coding");
+        return false;
+    }
     m_attempt->streams =
         success && has_body && decoded.proved && !decoded.not_executed && m_route->form == answer_form::event_stream;
     if (!m_attempt->streams && has_body && head.announced_length.value_or(0) > max_answer_bytes) {
--- a/src/serving/wire_protocol.hpp
+++ b/src/serving/wire_protocol.hpp
@@ -63,6 +63,8 @@
     bool wrong_server = false;
     // The answer carries the origin signature of the server.
     bool proved = false;
+    // The body is in a content coding, so it is not the server's.
+    bool coded = false;
     // The caller's attempt that the answer belongs to; empty if not stated.
     std::string attempt_id;
     // The id or address of the faulty server; empty if not stated.
--- a/test/error/serving_malformed_answers.cpp
+++ b/test/error/serving_malformed_answers.cpp
@@ -337,3 +337,30 @@
     CHECK(first.ends_with("\r\n\r\n"));
     CHECK(caller.received().substr(first.size()).starts_with("HTTP/1.1 200 OK"));
 }
+
+TEST_CASE("an answer in a content coding is refused, as no request asks for one") {
+    const auto path = GENERATE("/unsafe/x"s, "/stream/x"s);
+    const auto status = GENERATE(200, 500);
+    CAPTURE(path, status);
+    const log_recorder log;
+    answer_rig rig;
+    rig.text = answer_with("HTTP/1.1 " + std::to_string(status) + " Status",
+                           "Content-Encoding: gzip\r\nContent-Length: 29\r\n");
+    REQUIRE(rig.run_until_ready("host-1"));
+    auto& caller = rig.ask(path);
+    CHECK(is_status(caller, 502));
+    CHECK(caller.received().find("proof") == std::string::npos);
+    CHECK(caller.received().find("from the server") == std::string::npos);
+    CHECK(rig.requests == 1);
+    CHECK_FALSE(log.find("attempt failed", {"server=i-1", "content coding"}).empty());
+}
+
+TEST_CASE("a rejection in a content coding still states that the request did not run") {
+    answer_rig rig;
+    rig.text = answer_with("HTTP/1.1 503 Service Unavailable",
+                           "Verbenahold-Not-Executed: 1\r\nContent-Encoding: gzip\r\nContent-Length: 29\r\n");
+    REQUIRE(rig.run_until_ready("host-1"));
+    auto& caller = rig.ask("/unsafe/x");
+    CHECK(is_status(caller, 503));
+    CHECK(caller.received().find("from the server") == std::string::npos);
+}
