Read answers on the stand-alone path with the daemon's parser

Callers would see: of a server behind an entry, answers that are none. Status 000 and 600 to 999, names with blanks and control bytes, several lengths, codings other than chunked and chunk sizes that are no number were taken for answers; an answer without a length that was reset counted as complete.

Cause: Qt's HTTP client. Its parser takes more than HTTP allows (a chunk size that is no number ends the body), and its sockets report a reset as an orderly end (docs/decisions/ http-on-the-platform.md), so nothing behind it could tell.

Change: http_client sends its calls over byte_channel, which reads the socket itself and keeps the error of a failed write as server_connection does, and reads answers with serving::answer_parser. Connections are kept and reused; a call without a body is sent again only if a kept connection ends without an answer. Answers in a content coding are refused. The six connections a manager, its threads and the body that can't rewind are gone. Over TLS, Qt still does not tell an end without close_notify; that stays open.

--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -1,98 +1,74 @@
 #include "http_client.hpp"
 
+#include "answer_parser.hpp"
 #include "event_stream_parser.hpp"
-#include "non_rewindable_body.hpp"
-
-#include <QElapsedTimer>
-#include <QNetworkRequest>
 
 #include <algorithm>
+#include <string_view>
 
 namespace verbenahold {
 
 namespace {
 
-// QNetworkAccessManager opens at most this many connections to one server and
-// queues further requests behind them.
-constexpr int connections_per_manager = 6;
-// Limit of managers per server; each one costs about 0.1 MB and a thread.
-constexpr std::size_t managers_per_server = 32;
+using parse_progress = serving::answer_parser::progress;
+
 constexpr std::chrono::seconds trim_period{10};
-constexpr std::chrono::milliseconds idle_manager_time{30'000};
-
-// QNetworkReply errors from this value on report the status of an answer, not a
-// connection failure.
-constexpr int first_content_error = 201;
-
-http_failure failure_of(const QNetworkReply& reply) {
-    const auto error = reply.error();
-    const bool has_status = reply.attribute(QNetworkRequest::HttpStatusCodeAttribute).isValid();
-    switch (error) {
-        case QNetworkReply::NoError:
-            return has_status ? http_failure::none : http_failure::bad_answer;
-        case QNetworkReply::ConnectionRefusedError:
-        case QNetworkReply::HostNotFoundError:
-        case QNetworkReply::UnknownNetworkError:
-            return has_status ? http_failure::reset : http_failure::refused;
-        case QNetworkReply::RemoteHostClosedError:
-        case QNetworkReply::ContentReSendError:
-        case QNetworkReply::SslHandshakeFailedError:
-            return http_failure::reset;
-        case QNetworkReply::TimeoutError:
-        case QNetworkReply::OperationCanceledError:
-            return http_failure::timed_out;
-        default:
-            break;
-    }
-    return has_status && error >= first_content_error ? http_failure::none : http_failure::reset;
+constexpr std::chrono::milliseconds max_idle_time{30'000};
+constexpr int http_port = 80;
+constexpr int https_port = 443;
+
+QString server_of(const QUrl& url) {
+    return url.scheme() + "://" + url.authority();
 }
 
-QNetworkRequest make_request(const http_call& call) {
-    QNetworkRequest request(call.url);
-    request.setAttribute(QNetworkRequest::RedirectPolicyAttribute, QNetworkRequest::ManualRedirectPolicy);
-    request.setAttribute(QNetworkRequest::Http2AllowedAttribute, false);
-    request.setAttribute(QNetworkRequest::CookieLoadControlAttribute, QNetworkRequest::Manual);
-    request.setAttribute(QNetworkRequest::CookieSaveControlAttribute, QNetworkRequest::Manual);
-    request.setAttribute(QNetworkRequest::DoNotBufferUploadDataAttribute, true);
+// A complete request. A body, also an empty one of a method that has one, comes with its length.
+QByteArray request_bytes(const http_call& call) {
+    const auto target = call.url.toEncoded(QUrl::RemoveScheme | QUrl::RemoveAuthority | QUrl::RemoveFragment);
+    QByteArray bytes = call.method + ' ' + (target.startsWith('/') ? target : '/' + target) + " HTTP/1.1\r\n";
+    bytes += "Host: " + call.url.authority(QUrl::FullyEncoded | QUrl::RemoveUserInfo).toLatin1() + "\r\n";
+    bytes += "Accept-Encoding: identity\r\n";
     if (!call.content_type.isEmpty()) {
-        request.setHeader(QNetworkRequest::ContentTypeHeader, call.content_type);
+        bytes += "Content-Type: " + call.content_type + "\r\n";
     }
     for (const auto& [name, value] : call.headers) {
-        request.setRawHeader(name, value);
+        bytes += name + ": " + value + "\r\n";
     }
-    if (!call.body.isEmpty()) {
-        request.setHeader(QNetworkRequest::ContentLengthHeader, call.body.size());
+    if (!call.body.isEmpty() || call.method == "POST" || call.method == "PUT") {
+        bytes += "Content-Length: " + QByteArray::number(call.body.size()) + "\r\n";
     }
-    return request;
+    return bytes + "\r\n" + call.body;
 }
 
-}  // namespace
-
-struct http_client::pooled_manager {
-    QNetworkAccessManager manager;
-    int active = 0;
-    QElapsedTimer idle;
-};
+QByteArray to_bytes(std::string_view text) {
+    return {text.data(), static_cast<qsizetype>(text.size())};
+}
 
-struct http_client::pool {
-    std::vector<std::unique_ptr<pooled_manager>> managers;
-};
+}  // namespace
 
 struct http_client::active_call {
-    QNetworkReply* reply = nullptr;
-    pooled_manager* owner = nullptr;
+    QString server;
+    QUrl url;
+    QByteArray request;
+    bool has_body = false;
+    byte_channel* channel = nullptr;
+    // The connection has carried another call before.
+    bool is_kept = false;
+    serving::answer_parser answer;
+    QByteArray body;
     answer_callback done;
     std::unique_ptr<stream_callbacks> stream;
-    event_stream_parser parser;
+    event_stream_parser events;
     bool opened = false;
-    bool delivered_end = false;
     std::chrono::milliseconds silence_limit{};
     QTimer timer;
+
+    // The answer's body is a stream of events.
+    [[nodiscard]] bool streams() const { return stream && answer.has_head() && answer.head().status == 200; }
 };
 
 http_client::http_client(QObject* parent) : QObject(parent) {
     m_trim.setInterval(trim_period);
-    connect(&m_trim, &QTimer::timeout, this, [this] { trim_pools(); });
+    connect(&m_trim, &QTimer::timeout, this, [this] { trim_idle(); });
     m_trim.start();
 }
 
@@ -102,57 +78,68 @@
     }
 }
 
-http_client::pooled_manager& http_client::pick_manager(const QUrl& url) {
-    const QString key = url.scheme() + "://" + url.authority();
-    std::unique_ptr<pool>& servers = m_pools[key];
-    if (!servers) {
-        servers = std::make_unique<pool>();
-    }
-    auto& managers = servers->managers;
-    for (const auto& candidate : managers) {
-        if (candidate->active < connections_per_manager) {
-            return *candidate;
-        }
+http_client::active_call& http_client::start(const http_call& call, call_id id) {
+    auto& active = *m_calls.emplace(id, std::make_unique<active_call>()).first->second;
+    active.server = server_of(call.url);
+    active.url = call.url;
+    active.request = request_bytes(call);
+    active.has_body = !call.body.isEmpty();
+    active.answer.restart(call.method == "HEAD");
+    active.timer.setSingleShot(true);
+    active.timer.setTimerType(Qt::PreciseTimer);
+    connect(&active.timer, &QTimer::timeout, this, [this, id] { fail(id, http_failure::timed_out); });
+    active.timer.start(call.timeout);
+    send_request(id, active, true);
+    return active;
+}
+
+void http_client::send_request(call_id id, active_call& call, bool may_use_kept) {
+    auto* channel = may_use_kept ? take_idle(call.server) : nullptr;
+    call.is_kept = channel != nullptr;
+    if (channel == nullptr) {
+        const bool uses_tls = call.url.scheme() == "https";
+        const auto port = static_cast<std::uint16_t>(call.url.port(uses_tls ? https_port : http_port));
+        channel = uses_tls ? static_cast<byte_channel*>(new tls_channel(call.url.host(), port, this))
+                           : new tcp_channel(call.url.host(), port, this);
     }
-    if (managers.size() < managers_per_server) {
-        managers.push_back(std::make_unique<pooled_manager>());
-        return *managers.back();
+    call.channel = channel;
+    channel->on_bytes = [this, id](const QByteArray& bytes) { on_bytes(id, bytes); };
+    channel->on_end = [this, id](channel_end how) { on_end(id, how); };
+    channel->send(call.request);
+}
+
+byte_channel* http_client::take_idle(const QString& server) {
+    const auto found = m_idle.find(server);
+    if (found == m_idle.end() || found->second.empty()) {
+        return nullptr;
     }
-    const auto least = std::min_element(managers.begin(), managers.end(),
-                                        [](const auto& a, const auto& b) { return a->active < b->active; });
-    return **least;
+    auto* channel = found->second.back().channel;
+    found->second.pop_back();
+    return channel;
 }
 
-http_client::active_call& http_client::start(const http_call& call, call_id id) {
-    pooled_manager& owner = pick_manager(call.url);
-    ++owner.active;
-    auto active = std::make_unique<active_call>();
-    active->owner = &owner;
-    const QNetworkRequest request = make_request(call);
-    if (call.body.isEmpty()) {
-        active->reply = owner.manager.sendCustomRequest(request, call.method);
-    } else {
-        auto* body = new non_rewindable_body(call.body);
-        active->reply = owner.manager.sendCustomRequest(request, call.method, body);
-        body->setParent(active->reply);
+void http_client::keep(const QString& server, byte_channel& channel) {
+    // Bytes that no call asked for spoil the connection.
+    channel.on_bytes = [this, server, &channel](const QByteArray&) { drop_idle(server, channel); };
+    channel.on_end = [this, server, &channel](channel_end) { drop_idle(server, channel); };
+    auto& idle = m_idle[server].emplace_back(idle_channel{&channel});
+    idle.since.start();
+}
+
+void http_client::drop_idle(const QString& server, const byte_channel& channel) {
+    auto& idle = m_idle[server];
+    const auto found =
+        std::find_if(idle.begin(), idle.end(), [&](const auto& kept) { return kept.channel == &channel; });
+    if (found != idle.end()) {
+        found->channel->close();
+        found->channel->deleteLater();
+        idle.erase(found);
     }
-    active->timer.setSingleShot(true);
-    active->timer.setTimerType(Qt::PreciseTimer);
-    connect(&active->timer, &QTimer::timeout, this, [this, id] { fail(id, http_failure::timed_out); });
-    connect(active->reply, &QNetworkReply::finished, this, [this, id] { finish(id); });
-    active->timer.start(call.timeout);
-    return *m_calls.emplace(id, std::move(active)).first->second;
 }
 
 http_client::call_id http_client::send(const http_call& call, answer_callback done) {
     const call_id id = ++m_last;
-    active_call& active = start(call, id);
-    active.done = std::move(done);
-    connect(active.reply, &QNetworkReply::downloadProgress, this, [this, id](qint64 received) {
-        if (received > answer_limit) {
-            fail(id, http_failure::bad_answer);
-        }
-    });
+    start(call, id).done = std::move(done);
     return id;
 }
 
@@ -162,66 +149,106 @@
     active_call& active = start(call, id);
     active.silence_limit = silence_limit;
     active.stream = std::make_unique<stream_callbacks>(std::move(callbacks));
-    active.parser.on_event = [this, id](const QByteArray& data) {
+    active.events.on_event = [this, id](const QByteArray& data) {
         if (const auto found = m_calls.find(id); found != m_calls.end()) {
             found->second->stream->on_event(data);
         }
     };
-    active.parser.on_comment = [this, id] {
+    active.events.on_comment = [this, id] {
         if (const auto found = m_calls.find(id); found != m_calls.end() && found->second->stream->on_comment) {
             found->second->stream->on_comment();
         }
     };
-    connect(active.reply, &QNetworkReply::readyRead, this, [this, id] { read_stream(id); });
-    connect(active.reply, &QNetworkReply::metaDataChanged, this, [this, id] { read_stream(id); });
     return id;
 }
 
-void http_client::read_stream(call_id id) {
+void http_client::on_bytes(call_id id, const QByteArray& bytes) {
     const auto found = m_calls.find(id);
     if (found == m_calls.end()) {
         return;
     }
-    active_call& call = *found->second;
-    if (call.reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt() != 200) {
+    const auto progress = found->second->answer.feed({bytes.constData(), static_cast<std::size_t>(bytes.size())});
+    if (progress == parse_progress::broken) {
+        fail(id, http_failure::bad_answer);
+    } else if (take_arrived(id) && progress == parse_progress::complete) {
+        complete(id);
+    }
+}
+
+void http_client::on_end(call_id id, channel_end how) {
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end()) {
         return;
     }
-    call.timer.start(call.silence_limit);
+    active_call& call = *found->second;
+    const bool is_unanswered = !call.answer.has_begun();
+    if (is_unanswered && call.is_kept && !call.has_body) {
+        call.channel->deleteLater();
+        send_request(id, call, false);
+    } else if (how == channel_end::in_order && call.answer.feed_end() == parse_progress::complete) {
+        complete(id);
+    } else {
+        fail(id, how == channel_end::refused ? http_failure::refused : http_failure::reset);
+    }
+}
+
+bool http_client::take_arrived(call_id id) {
+    active_call& call = *m_calls.at(id);
+    if (!call.answer.has_head()) {
+        return true;
+    }
+    // No call asks for a content coding.
+    if (!serving::field_value(call.answer.head().fields, "Content-Encoding").empty()) {
+        fail(id, http_failure::bad_answer);
+        return false;
+    }
+    const auto bytes = to_bytes(call.answer.take_body());
+    if (call.streams()) {
+        return take_events(id, bytes);
+    }
+    call.body += bytes;
+    if (call.body.size() > answer_limit) {
+        fail(id, http_failure::bad_answer);
+        return false;
+    }
+    return true;
+}
+
+bool http_client::take_events(call_id id, const QByteArray& bytes) {
+    active_call& call = *m_calls.at(id);
+    if (!call.opened || !bytes.isEmpty()) {
+        call.timer.start(call.silence_limit);
+    }
     if (!std::exchange(call.opened, true) && call.stream->on_open) {
         call.stream->on_open();
         if (!m_calls.contains(id)) {
-            return;
+            return false;
         }
     }
     // A callback may cancel this call and so destroy `call`; the parser is moved
     // out of it to outlive that.
-    const QByteArray bytes = call.reply->readAll();
-    event_stream_parser parser = std::move(call.parser);
-    const bool fits = parser.feed(bytes);
+    event_stream_parser events = std::move(call.events);
+    const bool fits = events.feed(bytes);
     const auto still = m_calls.find(id);
     if (still == m_calls.end()) {
-        return;
+        return false;
     }
-    still->second->parser = std::move(parser);
+    still->second->events = std::move(events);
     if (!fits) {
         fail(id, http_failure::bad_answer);
     }
+    return fits;
 }
 
-void http_client::finish(call_id id) {
-    const auto found = m_calls.find(id);
-    if (found == m_calls.end()) {
-        return;
-    }
-    active_call& call = *found->second;
+void http_client::complete(call_id id) {
+    active_call& call = *m_calls.at(id);
+    const auto& head = call.answer.head();
     http_answer answer;
-    answer.failure = failure_of(*call.reply);
-    answer.status = call.reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
-    answer.content_type = call.reply->rawHeader("Content-Type");
-    if (call.stream && answer.status == 200) {
-        read_stream(id);
-    } else {
-        answer.body = call.reply->readAll();
+    answer.status = head.status;
+    answer.content_type = to_bytes(serving::field_value(head.fields, "Content-Type"));
+    answer.body = std::move(call.body);
+    if (call.answer.keep_alive() && !call.answer.has_surplus() && call.channel->has_sent_all()) {
+        keep(call.server, *std::exchange(call.channel, nullptr));
     }
     deliver(id, answer);
 }
@@ -261,30 +288,25 @@
 
 void http_client::discard(active_call& call) {
     call.timer.stop();
-    if (call.reply == nullptr) {
-        return;
-    }
-    QNetworkReply* reply = std::exchange(call.reply, nullptr);
-    reply->disconnect(this);
-    if (!reply->isFinished()) {
-        reply->abort();
+    if (auto* channel = std::exchange(call.channel, nullptr); channel != nullptr) {
+        channel->close();
+        // It may be on the call stack.
+        channel->deleteLater();
     }
-    // The manager owns the reply and deletes it in its destructor; delete the
-    // reply before the manager is trimmed.
-    reply->deleteLater();
-    --call.owner->active;
-    call.owner->idle.start();
 }
 
-void http_client::trim_pools() {
-    for (auto pool_entry = m_pools.begin(); pool_entry != m_pools.end();) {
-        auto& managers = pool_entry->second->managers;
-        std::erase_if(managers, [](const auto& candidate) {
-            return candidate->active == 0 && candidate->idle.isValid() &&
-                   candidate->idle.hasExpired(idle_manager_time.count());
+void http_client::trim_idle() {
+    for (auto& [server, idle] : m_idle) {
+        std::erase_if(idle, [](const idle_channel& kept) {
+            if (!kept.since.hasExpired(max_idle_time.count())) {
+                return false;
+            }
+            kept.channel->close();
+            kept.channel->deleteLater();
+            return true;
         });
-        pool_entry = managers.empty() ? m_pools.erase(pool_entry) : std::next(pool_entry);
     }
+    std::erase_if(m_idle, [](const auto& entry) { return entry.second.empty(); });
 }
 
 }  // namespace verbenahold
--- a/src/io/http_client.hpp
+++ b/src/io/http_client.hpp
@@ -3,8 +3,7 @@
 #pragma once
 
 #include <QByteArray>
-#include <QNetworkAccessManager>
-#include <QNetworkReply>
+#include <QElapsedTimer>
 #include <QObject>
 #include <QTimer>
 #include <QUrl>
@@ -17,6 +16,8 @@
 #include <utility>
 #include <vector>
 
+#include "byte_channel.hpp"
+
 namespace verbenahold {
 
 enum class http_failure : std::uint8_t {
@@ -27,7 +28,7 @@
     reset,
     // No answer within the timeout, or no data on a stream for too long.
     timed_out,
-    // The answer is not HTTP, is too long, or is not an event stream.
+    // The answer is not HTTP, or is too long.
     bad_answer,
 };
 
@@ -77,7 +78,7 @@
     static constexpr qint64 answer_limit = 64LL * 1024 * 1024;
 
     // Sends a call. A call with a body is sent at most once; a call without a
-    // body may be sent twice if the server closes an idle connection.
+    // body is sent again if the server closes a kept connection without an answer.
     call_id send(const http_call& call, answer_callback done);
     // Opens a stream of server-sent events, which times out after `silence_limit`
     // without data.
@@ -86,20 +87,32 @@
     void cancel(call_id which);
 
 private:
-    struct pool;
-    struct pooled_manager;
     struct active_call;
+    struct idle_channel {
+        byte_channel* channel = nullptr;
+        QElapsedTimer since{};
+    };
 
     active_call& start(const http_call& call, call_id id);
-    pooled_manager& pick_manager(const QUrl& url);
-    void finish(call_id id);
-    void read_stream(call_id id);
+    // Sends the call on a kept connection to its server, or on a new one.
+    void send_request(call_id id, active_call& call, bool may_use_kept);
+    byte_channel* take_idle(const QString& server);
+    void keep(const QString& server, byte_channel& channel);
+    void drop_idle(const QString& server, const byte_channel& channel);
+    void on_bytes(call_id id, const QByteArray& bytes);
+    void on_end(call_id id, channel_end how);
+    // Takes in the head and the bytes of the body that have arrived. Returns false if the
+    // call has ended.
+    bool take_arrived(call_id id);
+    bool take_events(call_id id, const QByteArray& bytes);
+    void complete(call_id id);
     void fail(call_id id, http_failure failure);
     void deliver(call_id id, const http_answer& answer);
     void discard(active_call& call);
-    void trim_pools();
+    void trim_idle();
 
-    std::map<QString, std::unique_ptr<pool>> m_pools;
+    // By scheme and authority.
+    std::map<QString, std::vector<idle_channel>> m_idle;
     std::map<call_id, std::unique_ptr<active_call>> m_calls;
     call_id m_last = 0;
     QTimer m_trim;
--- a/src/io/one_shot_call.hpp
+++ b/src/io/one_shot_call.hpp
@@ -14,10 +14,8 @@
     // Starts the call; the object deletes itself after `done`. The failure
     // `refused` guarantees that no connection was made.
     //
-    // QNetworkAccessManager may repeat the headers of a request on its own if
-    // the connection closes before the answer, but it can't repeat a body that
-    // does not seek. A call without a body is therefore sent with a newline as
-    // its body: a server sees no complete request without that byte.
+    // The client may send a call without a body again, but none with one. A call
+    // without a body is therefore sent with a newline as its body.
     static void start(http_call call, QObject* parent, answer_callback done);
 
 private:
--- a/test/correctness/io_http.cpp
+++ b/test/correctness/io_http.cpp
@@ -54,8 +54,7 @@
 }
 
 TEST_CASE("thirty streams to one server run at once") {
-    // One QNetworkAccessManager opens 6 connections: with a single manager the
-    // seventh stream would wait until one of the first six ends.
+    // With a limit on connections, a stream would wait until another one ends.
     constexpr int streams = 30;
     http_server server;
     std::vector<shared_reply> open;
--- a/test/error/io_http.cpp
+++ b/test/error/io_http.cpp
@@ -94,7 +94,7 @@
 }
 
 TEST_CASE("a body is sent once when the connection closes before the reply") {
-    // By default, QNetworkAccessManager repeats a POST in that case.
+    // Some clients repeat a POST in that case.
     QTcpServer server;
     REQUIRE(server.listen(QHostAddress::LocalHost));
     int bodies = 0;
--- a/test/error/io_one_shot.cpp
+++ b/test/error/io_one_shot.cpp
@@ -30,8 +30,7 @@
 }  // namespace
 
 TEST_CASE("a call without a body is received whole once when the connection closes before the reply") {
-    // QNetworkAccessManager opens a second connection and repeats the headers.
-    // The repetition must never be a complete request.
+    // A repetition must never be a complete request.
     QTcpServer server;
     REQUIRE(server.listen(QHostAddress::LocalHost));
     int whole = 0;
