Try each address of a server's name, and close TLS channels before their socket

Callers would see: calls to a server by a name with several addresses failed as refused if the first one refused, which Qt's client did not do. A channel over TLS that was destroyed open could report its end to a client that is gone.

Change: tcp_channel tries the addresses in turn, and connects from the event loop; tls_channel closes before its socket is destroyed.

--- a/src/io/byte_channel.cpp
+++ b/src/io/byte_channel.cpp
@@ -3,8 +3,11 @@
 #include <QHostInfo>
 #include <QTimer>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
+#include <cstring>
+#include <utility>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -64,19 +67,15 @@
     : byte_channel(parent), m_port(port) {
     const QHostAddress address(host);
     if (!address.isNull()) {
-        connect_to(address);
+        m_addresses = {address};
+        // Callbacks come from the event loop only.
+        QTimer::singleShot(0, this, [this] { connect_to_next(); });
         return;
     }
     m_lookup = QHostInfo::lookupHost(host, this, [this](const QHostInfo& found) {
         m_lookup = -1;
-        if (m_closed) {
-            return;
-        }
-        if (found.addresses().isEmpty()) {
-            end(channel_end::refused);
-        } else {
-            connect_to(found.addresses().front());
-        }
+        m_addresses = found.addresses();
+        connect_to_next();
     });
 }
 
@@ -84,29 +83,34 @@
     close();
 }
 
-void tcp_channel::connect_to(const QHostAddress& address) {
+void tcp_channel::connect_to_next() {
+    while (!m_closed && !m_addresses.isEmpty()) {
+        if (begin_connecting(m_addresses.takeFirst())) {
+            return;
+        }
+    }
+    end(channel_end::refused);
+}
+
+bool tcp_channel::begin_connecting(const QHostAddress& address) {
     const auto target = socket_address_of(address, m_port);
     m_socket = ::socket(target.storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (m_socket < 0) {
-        refuse();
-        return;
+        return false;
     }
     const int on = 1;
     ::setsockopt(m_socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     const auto* raw = reinterpret_cast<const sockaddr*>(&target.storage);  // NOLINT(*-reinterpret-cast)
     if (::connect(m_socket, raw, target.length) != 0 && errno != EINPROGRESS) {
-        refuse();
-        return;
+        stop_watching();
+        return false;
     }
     m_readable = std::make_unique<QSocketNotifier>(m_socket, QSocketNotifier::Read);
     m_readable->setEnabled(false);
     m_writable = std::make_unique<QSocketNotifier>(m_socket, QSocketNotifier::Write);
     connect(m_readable.get(), &QSocketNotifier::activated, this, [this] { read(); });
     connect(m_writable.get(), &QSocketNotifier::activated, this, [this] { on_writable(); });
-}
-
-void tcp_channel::refuse() {
-    QTimer::singleShot(0, this, [this] { end(channel_end::refused); });
+    return true;
 }
 
 void tcp_channel::send(const QByteArray& bytes) {
@@ -125,7 +129,8 @@
         socklen_t size = sizeof error;
         ::getsockopt(m_socket, SOL_SOCKET, SO_ERROR, &error, &size);
         if (error != 0) {
-            end(channel_end::refused);
+            stop_watching();
+            connect_to_next();
             return;
         }
         m_connected = true;
@@ -181,6 +186,10 @@
     if (m_lookup >= 0) {
         QHostInfo::abortHostLookup(m_lookup);
     }
+    stop_watching();
+}
+
+void tcp_channel::stop_watching() {
     // One of the notifiers may be on the call stack.
     for (auto* notifier : {m_readable.release(), m_writable.release()}) {
         if (notifier != nullptr) {
@@ -189,7 +198,7 @@
         }
     }
     if (m_socket >= 0) {
-        ::close(m_socket);
+        ::close(std::exchange(m_socket, -1));
     }
 }
 
@@ -205,6 +214,10 @@
     m_socket.connectToHostEncrypted(host, port);
 }
 
+tls_channel::~tls_channel() {
+    close();
+}
+
 void tls_channel::send(const QByteArray& bytes) {
     m_socket.write(bytes);
 }
--- a/src/io/byte_channel.hpp
+++ b/src/io/byte_channel.hpp
@@ -3,6 +3,7 @@
 
 #include <QByteArray>
 #include <QHostAddress>
+#include <QList>
 #include <QObject>
 #include <QSocketNotifier>
 #include <QSslSocket>
@@ -59,12 +60,13 @@
     void close() override;
 
 private:
-    void connect_to(const QHostAddress& address);
+    // Tries the server's addresses in turn, until one takes the connection.
+    void connect_to_next();
+    [[nodiscard]] bool begin_connecting(const QHostAddress& address);
+    void stop_watching();
     void on_writable();
     void write();
     void read();
-    // Ends the channel later, from the event loop.
-    void refuse();
     void end(channel_end how);
 
     std::uint16_t m_port;
@@ -74,6 +76,8 @@
     // The write learned that the connection broke off.
     bool m_broken = false;
     int m_lookup = -1;
+    // Those that were not tried yet.
+    QList<QHostAddress> m_addresses;
     QByteArray m_output;
     std::unique_ptr<QSocketNotifier> m_readable;
     std::unique_ptr<QSocketNotifier> m_writable;
@@ -84,6 +88,12 @@
 class tls_channel : public byte_channel {
 public:
     tls_channel(const QString& host, std::uint16_t port, QObject* parent);
+    ~tls_channel() override;
+    tls_channel(const tls_channel&) = delete;
+    tls_channel& operator=(const tls_channel&) = delete;
+    tls_channel(tls_channel&&) = delete;
+    tls_channel& operator=(tls_channel&&) = delete;
+
     void send(const QByteArray& bytes) override;
     [[nodiscard]] bool has_sent_all() const override;
     void close() override;
--- a/test/error/io_broken_answers.cpp
+++ b/test/error/io_broken_answers.cpp
@@ -221,3 +221,19 @@
     CHECK(answer.failure == (body.isEmpty() ? http_failure::none : http_failure::reset));
     CHECK(requests == (body.isEmpty() ? 3 : 2));
 }
+
+TEST_CASE("a server is reached by a name of which another address refuses") {
+    const raw_server server("HTTP/1.1 200 OK\r\nContent-Length: 29\r\n\r\n" + event);
+    QUrl url = server.url();
+    url.setHost("localhost");
+    http_client client;
+    http_answer answer;
+    bool done = false;
+    client.send({.url = url}, [&](const http_answer& got) {
+        answer = got;
+        done = true;
+    });
+    REQUIRE(wait_until([&] { return done; }));
+    CHECK(answer.failure == http_failure::none);
+    CHECK(answer.body.toStdString() == event);
+}
