--- a/test/correctness/io_tls.cpp
+++ b/test/correctness/io_tls.cpp
@@ -8,6 +8,7 @@
 
 #include <iostream>
 
+#include "http_client.hpp"
 #include "http_server.hpp"
 #include "io_wait.hpp"
 
@@ -55,5 +56,35 @@
                      [&] { socket.write("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody"); });
     socket.connectToHostEncrypted(url.host(), static_cast<quint16>(url.port()));
     CHECK(wait_until([&] { return received.endsWith("body over TLS"); }));
+
+    const auto before = QSslConfiguration::defaultConfiguration();
+    QSslConfiguration::setDefaultConfiguration(configuration);
+    http_client client;
+    int answers = 0;
+    http_answer answer;
+    // The second call goes over the first one's connection.
+    for (int round = 1; round <= 2; ++round) {
+        client.send({.method = "POST", .url = url_of(address->address, "/", "https"), .body = "call"},
+                    [&](const http_answer& got) {
+                        answer = got;
+                        ++answers;
+                    });
+        REQUIRE(wait_until([&] { return answers == round; }));
+        CHECK(answer.failure == http_failure::none);
+        CHECK(answer.status == 200);
+        CHECK(answer.body == "call over TLS");
+    }
+    CHECK(server.open_connections() == 2);
+
+    // Without the certificate, the handshake fails and nothing is sent.
+    QSslConfiguration::setDefaultConfiguration(before);
+    http_client distrusting;
+    distrusting.send({.method = "POST", .url = url_of(address->address, "/", "https"), .body = "call"},
+                     [&](const http_answer& got) {
+                         answer = got;
+                         ++answers;
+                     });
+    REQUIRE(wait_until([&] { return answers == 3; }));
+    CHECK(answer.failure == http_failure::reset);
     std::cout << "TLS: passed\n";
 }
