--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -4,7 +4,7 @@
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
-standin=target/review-2/review3_crashing_few
+standin=target/review-2/review3_crashing_part
 daemon=target/bin/verbenahold-serve
 [ -x "$standin" ] && [ -x "$daemon" ] || exit 2
 folder=$(mktemp -d)
--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -4,7 +4,7 @@
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
-standin=target/review-2/review3_late_channel
+standin=target/review-2/review3_event_ids
 daemon=target/bin/verbenahold-serve
 [ -x "$standin" ] && [ -x "$daemon" ] || exit 2
 folder=$(mktemp -d)
--- a/review/standins-2/review3_crashing_part.cpp
+++ b/review/standins-2/review3_crashing_part.cpp
@@ -1,4 +1,4 @@
-// Case 12 (PARTS set): one part of long prompts crashes each model worker that begins to write
+// Case 13: one part of long prompts crashes each model worker that begins to write
 // an answer on it. Shows whether requests with that part are kept from the workers, and how sound
 // requests with the same key and the same other parts fare.
 #include "review3_engine.hpp"
--- a/review/standins-2/review3_event_ids.cpp
+++ b/review/standins-2/review3_event_ids.cpp
@@ -1,4 +1,4 @@
-// Case 15: a worker numbers the events of a stream by the tokens that they hold, so that ids
+// Case 14: a worker numbers the events of a stream by the tokens that they hold, so that ids
 // increase by more than one. Shows what becomes of the streams.
 #include "review3_platform.hpp"
 
--- a/review/standins-2/review3_late_channel.cpp
+++ b/review/standins-2/review3_late_channel.cpp
@@ -1,4 +1,4 @@
-// Case 14: a worker's queue of new channels is full for a while, and the worker begins to drain
+// Case 15: a worker's queue of new channels is full for a while, and the worker begins to drain
 // meanwhile. Shows when requests that may run once reach it, and what becomes of them.
 #include "review3_platform.hpp"
 
