Compare positions of the store by era, so that its return from an older copy is followed

Callers saw: after a drill in which the store came back from a copy 8 s old, a daemon went on with the desired state before it.

Cause: versions of rows were compared across the store's return, after which it gives them out again. The list that followed a 410 was dropped since its version was lower, and polls went on from the old version, without a pause, until the store had given that out again and hid what lay below it. Store-Era, which tells the returns apart, was read nowhere.

Ruled out: the desired state's own version, which rose.

Fix: a position is an era and a version. Lists, polls, statuses and rows between daemons compare positions, single changes never cross eras, and reloads that don't help are repeated with growing pauses. Daemons of earlier releases state no era; their higher versions only cause a poll, at most twice a second. Looked at for the same cause: a daemon that starts anew (it took the higher versions of others), the daemon's own row (lost with the copy, now written again) and rows that the copy lacks or has in an older state (for 2 s evacuations, drains and servers are kept). Leases and roles hold no version of the store.

Why it works: within an era the store's versions only rise, and the later era is the newer one.

--- a/src/routing/daemon_view.hpp
+++ b/src/routing/daemon_view.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "daemon_record.hpp"
+#include "store_position.hpp"
 
 #include "verbenahold/types.hpp"
 
@@ -29,10 +30,10 @@
     std::string peer_address;
     // Accepts new connections from callers.
     bool accepting = false;
-    // Newest known versions of the store's rows that operators write and of those
+    // Newest known positions of the store's rows that operators write and of those
     // that servers write.
-    std::uint64_t operator_rows_version = 0;
-    std::uint64_t server_rows_version = 0;
+    store_position operator_rows;
+    store_position server_rows;
     // The daemon's calls to the store succeed.
     bool store_in_reach = false;
     // The daemon is shutting down.
--- a/src/routing/server_registry.cpp
+++ b/src/routing/server_registry.cpp
@@ -26,6 +26,13 @@
     }
 }
 
+bool server_registry::is_draining_run(const server_entry& entry) const {
+    const auto found = m_servers.find(entry.id);
+    return found != m_servers.end() && found->second.entry.phase == server_phase::draining &&
+           entry.phase != server_phase::draining && entry.started_at_unix_ms != 0 &&
+           found->second.entry.started_at_unix_ms == entry.started_at_unix_ms;
+}
+
 void server_registry::report_failure(const server_name& id, time_point now) {
     const auto found = m_servers.find(id);
     if (found == m_servers.end()) {
--- a/src/routing/server_registry.hpp
+++ b/src/routing/server_registry.hpp
@@ -45,6 +45,8 @@
     // may only have lapsed, so the server stays in use until the grace period
     // after the last trouble has passed.
     void remove(const server_name& id, std::optional<time_point> last_store_trouble, time_point now);
+    // The registry has this run of the server as draining, though the entry says otherwise.
+    [[nodiscard]] bool is_draining_run(const server_entry& entry) const;
     // Servers in evacuated zones get no new requests.
     void set_evacuated(std::set<zone_name> zones) { m_evacuated = std::move(zones); }
     [[nodiscard]] const std::set<zone_name>& evacuated() const { return m_evacuated; }
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -69,6 +69,9 @@
     early_end_counter(early_end::out_of_time),
     early_end_counter(early_end::internal_fault),
 });
+// After the store came back from an older copy, operators and servers write again what that
+// lacks. Until then it counts less than what was known before.
+constexpr duration restored_rows_settling_time = std::chrono::seconds(2);
 constexpr std::string_view changes_path = "/v1/changes";
 // Upper bound of the random delay before a daemon asks a peer for changes.
 constexpr duration max_catch_up_delay = std::chrono::milliseconds(120);
@@ -101,7 +104,8 @@
 table_changes changes_of(const wire::StateChanges& message, store_table table) {
     const bool operators = table == store_table::operator_rows;
     table_changes changes;
-    changes.version = operators ? message.operator_rows_version() : message.server_rows_version();
+    changes.position = operators ? store_position{message.operator_rows_era(), message.operator_rows_version()}
+                                 : store_position{message.server_rows_era(), message.server_rows_version()};
     changes.whole = operators ? message.operator_rows_whole() : message.server_rows_whole();
     for (const auto& row : message.rows()) {
         if (row.table() == static_cast<std::uint32_t>(table)) {
@@ -111,6 +115,28 @@
     return changes;
 }
 
+// The query of a request for changes: the versions of both tables that the asking daemon has
+// and, unless its release knows none, their eras.
+std::string encode_positions(const store_position& operators, const store_position& servers) {
+    return std::to_string(operators.version) + ',' + std::to_string(servers.version) + ',' +
+           std::to_string(operators.era) + ',' + std::to_string(servers.era);
+}
+
+// The positions of the rows of operators and of servers; zero for what is missing.
+std::pair<store_position, store_position> decode_positions(std::string_view query) {
+    std::array<std::uint64_t, 4> numbers{};
+    const char* begin = query.data();
+    const char* const end = begin + query.size();
+    for (auto& number : numbers) {
+        begin = std::from_chars(begin, end, number).ptr;
+        if (begin == end) {
+            break;
+        }
+        ++begin;
+    }
+    return {{numbers[2], numbers[0]}, {numbers[3], numbers[1]}};
+}
+
 void add_changes(wire::StateChanges& message, const table_changes& changes, store_table table) {
     for (const auto& row : changes.rows) {
         auto& copy = *message.add_rows();
@@ -138,6 +164,9 @@
                       [this](const auto& rows, const auto& changed) { on_operator_rows(rows, changed); }),
       m_server_rows(store_table::server_rows, settings.store_address, protocol, m_state.calls, m_state.timers,
                     [this](const auto&, const auto& changed) { on_server_rows(changed); }) {
+    for (auto* table : {&m_operator_rows, &m_server_rows}) {
+        table->set_on_new_era([this](std::uint64_t era) { on_new_era(era); });
+    }
     m_state.notices.on_daemon_status = [this](const daemon_status& peer) { on_daemon_status(peer); };
     m_state.notices.on_work = [this](const work_update& update) { m_peers.send_work(update); };
     m_state.notices.on_server_failure = [this](const server_name& server) { m_peers.send_trouble(server); };
@@ -251,6 +280,9 @@
             evacuated.insert(asked->zone);
         }
     }
+    if (has_restored_rows()) {
+        evacuated.insert(m_state.servers.evacuated().begin(), m_state.servers.evacuated().end());
+    }
     if (evacuated != m_state.servers.evacuated()) {
         std::string zones;
         for (const auto& zone : evacuated) {
@@ -286,6 +318,21 @@
         .info();
 }
 
+void gateway::on_new_era(std::uint64_t era) {
+    m_rows_settle_at = m_state.timers.now() + restored_rows_settling_time;
+    m_state.timers.after(restored_rows_settling_time, [this] {
+        if (!has_restored_rows()) {
+            m_operator_rows.repeat_rows();
+            m_server_rows.repeat_rows();
+        }
+    });
+    m_presence.on_store_era(era);
+}
+
+bool gateway::has_restored_rows() const {
+    return m_rows_settle_at && m_state.timers.now() < *m_rows_settle_at;
+}
+
 void gateway::on_server_rows(const std::vector<store_row>& changed) {
     auto last_trouble = m_server_rows.last_trouble();
     if (m_peer_store_trouble_at && (!last_trouble || *m_peer_store_trouble_at > *last_trouble)) {
@@ -323,6 +370,10 @@
         .add("address", entry->address)
         .add("version", row.version)
         .debug();
+    if (has_restored_rows() && m_state.servers.is_draining_run(*entry)) {
+        log_line("server entry older than its drain").add("server", row.key).add("version", row.version).info();
+        return;
+    }
     m_state.statements.on_entry(*entry, now);
     m_state.servers.update(*entry, now);
 }
@@ -337,8 +388,8 @@
     status.front_address = m_state.settings.front_address;
     status.peer_address = m_state.settings.peer_address;
     status.accepting = is_ready();
-    status.operator_rows_version = m_operator_rows.version();
-    status.server_rows_version = m_server_rows.version();
+    status.operator_rows = m_operator_rows.position();
+    status.server_rows = m_server_rows.position();
     status.store_in_reach = m_operator_rows.is_store_reachable() && m_server_rows.is_store_reachable();
     m_presence.describe(status);
     return status;
@@ -368,13 +419,23 @@
 }
 
 bool gateway::has_newer_rows(const daemon_status& peer) const {
-    return peer.operator_rows_version > m_operator_rows.version() || peer.server_rows_version > m_server_rows.version();
+    return peer.operator_rows > m_operator_rows.position() || peer.server_rows > m_server_rows.position();
+}
+
+// Daemons of earlier releases don't state the era of their versions, so their rows may be
+// those of an earlier one.
+void gateway::check_hint(table_follower& table, const store_position& theirs) {
+    if (theirs.era == 0 && table.position().era > 0 && theirs.version > table.position().version) {
+        table.poll_on_hint();
+    }
 }
 
 void gateway::on_daemon_status(const daemon_status& peer) {
     if (!peer.store_in_reach) {
         m_peer_store_trouble_at = m_state.timers.now();
     }
+    check_hint(m_operator_rows, peer.operator_rows);
+    check_hint(m_server_rows, peer.server_rows);
     if (m_fetching_changes || !has_newer_rows(peer)) {
         return;
     }
@@ -398,11 +459,11 @@
     }
     const auto choice = std::uniform_int_distribution<std::size_t>(0, ahead.size() - 1)(m_state.random);
     const auto& peer = ahead[choice];
-    const http_request request{"GET",
-                               std::string(changes_path) + '?' + std::to_string(m_operator_rows.version()) + ',' +
-                                   std::to_string(m_server_rows.version()),
-                               {},
-                               {}};
+    const http_request request{
+        "GET",
+        std::string(changes_path) + '?' + encode_positions(m_operator_rows.position(), m_server_rows.position()),
+        {},
+        {}};
     m_state.calls.call(
         peer.peer_address, request, {peer_call_timeout, max_rows_bytes},
         [this, name = peer.name](const call_result& result) {
@@ -418,17 +479,16 @@
         });
 }
 
-// The query of the target holds the two table versions that the asking daemon
-// has.
 http_answer gateway::answer_peer(const http_request& request) {
     const auto question = request.target.find('?');
-    const auto comma = request.target.find(',');
-    if (path_of(request.target) != changes_path || question == std::string::npos || comma == std::string::npos) {
+    if (path_of(request.target) != changes_path || question == std::string::npos ||
+        request.target.find(',') == std::string::npos) {
         return {{404, {}, {}}, {}};
     }
-    if (m_compressed_versions != std::pair(m_operator_rows.version(), m_server_rows.version())) {
+    const std::pair positions(m_operator_rows.position(), m_server_rows.position());
+    if (m_compressed_positions != positions) {
         m_compressed_changes.clear();
-        m_compressed_versions = {m_operator_rows.version(), m_server_rows.version()};
+        m_compressed_positions = positions;
     }
     if (m_compressed_changes.size() >= max_kept_answers) {
         m_compressed_changes.clear();
@@ -437,19 +497,18 @@
     // answer is cached.
     auto& packed = m_compressed_changes[request.target];
     if (packed.empty()) {
-        std::uint64_t operator_version = 0;
-        std::uint64_t server_version = 0;
-        const char* text = request.target.data();
-        std::from_chars(text + question + 1, text + comma, operator_version);
-        std::from_chars(text + comma + 1, text + request.target.size(), server_version);
+        const auto [operators_known, servers_known] =
+            decode_positions(std::string_view(request.target).substr(question + 1));
         wire::StateChanges changes;
-        const auto operators = m_operator_rows.changes_since(operator_version);
-        const auto servers = m_server_rows.changes_since(server_version);
+        const auto operators = m_operator_rows.changes_since(operators_known);
+        const auto servers = m_server_rows.changes_since(servers_known);
         add_changes(changes, operators, store_table::operator_rows);
         add_changes(changes, servers, store_table::server_rows);
-        changes.set_operator_rows_version(operators.version);
+        changes.set_operator_rows_version(operators.position.version);
+        changes.set_operator_rows_era(operators.position.era);
         changes.set_operator_rows_whole(operators.whole);
-        changes.set_server_rows_version(servers.version);
+        changes.set_server_rows_version(servers.position.version);
+        changes.set_server_rows_era(servers.position.era);
         changes.set_server_rows_whole(servers.whole);
         packed = qCompress(QByteArray::fromStdString(changes.SerializeAsString()), compression_level).toStdString();
     }
--- a/src/serving/gateway.hpp
+++ b/src/serving/gateway.hpp
@@ -43,10 +43,15 @@
     void take_desired_state(const store_row& row);
     void on_server_rows(const std::vector<store_row>& changed);
     void take_server_row(const store_row& row, const std::optional<time_point>& last_trouble);
+    // The store came back from an older copy.
+    void on_new_era(std::uint64_t era);
+    // The store came back a moment ago, and may lack rows that are written again.
+    [[nodiscard]] bool has_restored_rows() const;
     void on_part_decided();
     void on_heartbeat();
     void on_daemon_status(const daemon_status& peer);
     [[nodiscard]] bool has_newer_rows(const daemon_status& peer) const;
+    static void check_hint(table_follower& table, const store_position& theirs);
     void fetch_changes();
     void update_store_reader();
     void reload();
@@ -78,12 +83,14 @@
     std::vector<std::weak_ptr<front_session>> m_sessions;
     bool m_tables_started = false;
     bool m_fetching_changes = false;
+    // Until then rows of the store's older copy may be written again.
+    std::optional<time_point> m_rows_settle_at;
     // When another daemon last reported that it can't reach the store.
     std::optional<time_point> m_peer_store_trouble_at;
     // Compressed answers to requests for changes, by request target. Valid for
-    // the two table versions below.
+    // the two tables at the positions below.
     std::map<std::string, std::string> m_compressed_changes;
-    std::pair<std::uint64_t, std::uint64_t> m_compressed_versions;
+    std::pair<store_position, store_position> m_compressed_positions;
 };
 
 }  // namespace verbenahold::serving
--- a/src/serving/peer_link.cpp
+++ b/src/serving/peer_link.cpp
@@ -32,8 +32,8 @@
     status.front_address = message.front_address();
     status.peer_address = message.peer_address();
     status.accepting = message.accepting();
-    status.operator_rows_version = message.operator_rows_version();
-    status.server_rows_version = message.server_rows_version();
+    status.operator_rows = {message.operator_rows_era(), message.operator_rows_version()};
+    status.server_rows = {message.server_rows_era(), message.server_rows_version()};
     status.store_in_reach = message.store_in_reach();
     status.leaving = message.leaving();
     status.active = !message.stands_by();
@@ -51,8 +51,10 @@
     message.set_front_address(status.front_address);
     message.set_peer_address(status.peer_address);
     message.set_accepting(status.accepting);
-    message.set_operator_rows_version(status.operator_rows_version);
-    message.set_server_rows_version(status.server_rows_version);
+    message.set_operator_rows_version(status.operator_rows.version);
+    message.set_operator_rows_era(status.operator_rows.era);
+    message.set_server_rows_version(status.server_rows.version);
+    message.set_server_rows_era(status.server_rows.era);
     message.set_store_in_reach(status.store_in_reach);
     message.set_leaving(status.leaving);
     message.set_stands_by(!status.active);
--- a/src/serving/presence.cpp
+++ b/src/serving/presence.cpp
@@ -27,6 +27,8 @@
 constexpr duration late_listing_period = std::chrono::seconds(2);
 // Delay before this daemon's row is written again after a failure.
 constexpr duration announce_retry_delay = std::chrono::milliseconds(500);
+// Longest delay before this daemon's row is written again into a store that came back.
+constexpr duration max_rewrite_delay = std::chrono::seconds(1);
 constexpr duration role_check_period = std::chrono::milliseconds(100);
 // A daemon that stands by sends one of this many heartbeats.
 constexpr std::uint64_t standby_heartbeat_interval = 3;
@@ -96,13 +98,32 @@
     const daemon_record own{settings.host.value, settings.peer_address, settings.zone, settings.cores};
     const auto request = m_state.wire.write_row(store_table::daemon_rows, own.name, encode_daemon_record(own));
     m_state.calls.call(settings.store_address, request, {store_call_limit, max_rows_bytes},
-                       [this](const call_result& result) {
-                           if (m_state.stop.has_begun() || (result.answer && result.answer->head.status == 200)) {
-                               return;
-                           }
-                           log_line("own row not written").add("reason", result.failure).warn();
-                           m_state.timers.after(announce_retry_delay, [this] { write_own_row(); });
-                       });
+                       [this](const call_result& result) { on_own_row_written(result); });
+}
+
+void presence::on_own_row_written(const call_result& result) {
+    if (m_state.stop.has_begun()) {
+        return;
+    }
+    if (!result.answer || result.answer->head.status != 200) {
+        log_line("own row not written").add("reason", result.failure).warn();
+        m_state.timers.after(announce_retry_delay, [this] { write_own_row(); });
+        return;
+    }
+    m_own_row_era = m_state.wire.read_store_era(*result.answer);
+    on_store_era(*m_own_row_era);
+}
+
+void presence::on_store_era(std::uint64_t era) {
+    m_store_era = std::max(m_store_era, era);
+    if (!m_own_row_era || *m_own_row_era >= m_store_era || m_state.stop.has_begun()) {
+        return;
+    }
+    m_own_row_era.reset();
+    log_line("writing own row again").add("era", m_store_era).info();
+    // All hosts learn of the era at once.
+    std::uniform_int_distribution<duration::rep> spread(0, max_rewrite_delay.count());
+    m_state.timers.after(duration(spread(m_state.random)), [this] { write_own_row(); });
 }
 
 void presence::list_again_if_active() {
@@ -152,7 +173,8 @@
         }
         m_state.daemons.on_record(record);
     }
-    log_line("daemons listed").add("rows", listed->rows.size()).add("version", listed->version).info();
+    log_line("daemons listed").add("rows", listed->rows.size()).add("version", listed->position.version).info();
+    on_store_era(listed->position.era);
     if (listed->has_more && !listed->rows.empty()) {
         // The smallest key that is greater than the last one.
         list_daemons(listed->rows.back().key + '\0');
--- a/src/serving/presence.hpp
+++ b/src/serving/presence.hpp
@@ -21,6 +21,9 @@
     void announce();
     // Announces that this daemon shuts down and removes its row.
     void leave();
+    // The store is in this era. Writes this daemon's row again if it was written in an earlier
+    // one, as the copy from which the store came back may lack it.
+    void on_store_era(std::uint64_t era);
     // Fills in what this daemon says of its part and its load.
     void describe(daemon_status& status) const;
     [[nodiscard]] bool is_store_reader() const;
@@ -30,6 +33,7 @@
 
 private:
     void write_own_row();
+    void on_own_row_written(const call_result& result);
     // Lists the daemons, and again until that has succeeded.
     void list_until_listed();
     // Lists the rows that daemons wrote about themselves, from `first_key` on.
@@ -47,6 +51,10 @@
     std::function<void()> m_on_part_decided;
     std::function<void()> m_on_heartbeat;
     bool m_listed = false;
+    // The newest known era of the store, and that in which it confirmed this daemon's row;
+    // empty while the row is being written.
+    std::uint64_t m_store_era = 0;
+    std::optional<std::uint64_t> m_own_row_era;
     std::uint64_t m_heartbeats = 0;
     std::uint64_t m_requests_before = 0;
     double m_requests_per_second = 0;
--- a/src/serving/table_follower.cpp
+++ b/src/serving/table_follower.cpp
@@ -85,8 +85,7 @@
     const auto page = m_wire.read_page(*result.answer);
     if (const auto* fault = std::get_if<store_fault>(&page)) {
         if (*fault == store_fault::history_gone) {
-            log_line("reloading table").add("table", table_label(m_table)).add("version", m_version).info();
-            load({});
+            reload();
         } else {
             on_failure(*fault == store_fault::malformed ? "the answer is malformed" : "the store refused the call");
         }
@@ -107,7 +106,8 @@
         log_line("store lost")
             .add("table", table_label(m_table))
             .add("reason", reason)
-            .add("version", m_version)
+            .add("era", m_position.era)
+            .add("version", m_position.version)
             .warn();
     }
     const auto pause = m_retry_delay;
@@ -124,13 +124,17 @@
 void table_follower::load(const std::string& first_key) {
     if (first_key.empty()) {
         m_loading.clear();
-        m_loading_version.reset();
+        m_loading_position.reset();
     }
     call(m_wire.list_rows(m_table, first_key), store_call_limit, [this](const store_page& page) { on_page(page); });
 }
 
 void table_follower::on_page(const store_page& page) {
-    m_loading_version = m_loading_version.value_or(page.version);
+    m_loading_position = m_loading_position.value_or(page.position);
+    if (page.position.era != m_loading_position->era) {
+        reload();
+        return;
+    }
     for (const auto& row : page.rows) {
         m_loading[row.key] = row;
     }
@@ -139,16 +143,64 @@
         load(page.rows.back().key);
         return;
     }
-    replace(std::move(m_loading), *m_loading_version);
+    replace(std::move(m_loading), *m_loading_position);
     m_loading.clear();
     schedule_next_poll();
 }
 
 void table_follower::await_changes(duration wait) {
-    call(m_wire.await_rows(m_table, m_version, wait), wait + change_wait_slack, [this](const store_page& page) {
-        merge(page.rows, page.version);
-        schedule_next_poll();
-    });
+    call(m_wire.await_rows(m_table, m_position.version, wait), wait + change_wait_slack,
+         [this, asked_from = m_position](const store_page& page) { on_changes(page, asked_from); });
+}
+
+void table_follower::on_changes(const store_page& page, const store_position& asked_from) {
+    const auto era = page.position.era;
+    if (era < asked_from.era) {
+        on_failure("the answer is of an earlier era");
+        return;
+    }
+    if (era > m_position.era) {
+        // The changes follow a version that this copy never had.
+        reload();
+        return;
+    }
+    // Another daemon may have told of a later era during the call.
+    if (era == asked_from.era && era == m_position.era) {
+        m_reloads = 0;
+        merge(page.rows, page.position.version);
+    }
+    schedule_next_poll();
+}
+
+void table_follower::reload() {
+    const auto pause =
+        m_reloads == 0 ? duration::zero() : std::min(min_store_retry_delay * m_reloads, max_store_retry_delay);
+    ++m_reloads;
+    log_line("reloading table")
+        .add("table", table_label(m_table))
+        .add("era", m_position.era)
+        .add("version", m_position.version)
+        .add("after_ms", pause)
+        .info();
+    m_next_call = m_timers.after(pause, [this] { load({}); });
+}
+
+void table_follower::poll_on_hint() {
+    const auto now = m_timers.now();
+    if (m_calling || !is_loaded() || now - m_hinted_poll_at < min_hinted_poll_interval) {
+        return;
+    }
+    m_hinted_poll_at = now;
+    m_timers.unsubscribe(m_next_call);
+    await_changes({});
+}
+
+void table_follower::repeat_rows() {
+    std::vector<store_row> all;
+    for (const auto& [key, row] : m_rows) {
+        all.push_back(row);
+    }
+    m_on_change(m_rows, all);
 }
 
 void table_follower::note_removed(const store_row& row) {
@@ -159,14 +211,26 @@
     }
 }
 
-void table_follower::replace(rows fresh, std::uint64_t version) {
-    if (version < m_version) {
+void table_follower::replace(rows fresh, const store_position& position) {
+    if (position < m_position) {
         return;
     }
+    const bool begins_era = is_loaded() && position.era != m_position.era;
+    if (begins_era) {
+        // Rows that the copy lacks may only have to be written again.
+        m_last_failure = m_timers.now();
+        log_line("the store came back from an older copy")
+            .add("table", table_label(m_table))
+            .add("era_before", m_position.era)
+            .add("era", position.era)
+            .add("version_before", m_position.version)
+            .add("version", position.version)
+            .warn();
+    }
     std::vector<store_row> changed;
     for (const auto& [key, row] : fresh) {
         const auto known = m_rows.find(key);
-        if (known == m_rows.end() || known->second.version != row.version) {
+        if (known == m_rows.end() || known->second.version != row.version || known->second.value != row.value) {
             changed.push_back(row);
         }
     }
@@ -178,10 +242,13 @@
         }
     }
     m_rows = std::move(fresh);
-    m_version = version;
+    m_position = position;
     // The versions at which rows were removed are unknown.
     m_removed.clear();
-    m_oldest_diff_version = version;
+    m_oldest_diff_version = position.version;
+    if (begins_era && m_on_new_era) {
+        m_on_new_era(position.era);
+    }
     m_on_change(m_rows, changed);
 }
 
@@ -191,7 +258,7 @@
         const auto known = m_rows.find(row.key);
         // Skips rows that are already known, for example from another daemon.
         const auto known_version = known == m_rows.end() ? 0 : known->second.version;
-        if (row.version <= std::max(known_version, known == m_rows.end() ? m_version : 0)) {
+        if (row.version <= std::max(known_version, known == m_rows.end() ? m_position.version : 0)) {
             continue;
         }
         changed.push_back(row);
@@ -202,31 +269,35 @@
             m_rows[row.key] = row;
         }
     }
-    m_version = std::max(m_version, version);
+    m_position.version = std::max(m_position.version, version);
     if (!changed.empty()) {
         m_on_change(m_rows, changed);
     }
 }
 
 void table_follower::apply_changes(const table_changes& changes) {
-    if (changes.version <= m_version) {
+    if (changes.position <= m_position) {
         return;
     }
     if (!changes.whole) {
-        merge(changes.rows, changes.version);
+        // Single changes of another era don't apply to these rows.
+        if (changes.position.era == m_position.era) {
+            merge(changes.rows, changes.position.version);
+        }
         return;
     }
     rows all;
     for (const auto& row : changes.rows) {
         all[row.key] = row;
     }
-    replace(std::move(all), changes.version);
+    replace(std::move(all), changes.position);
 }
 
-table_changes table_follower::changes_since(std::uint64_t version) const {
+table_changes table_follower::changes_since(const store_position& position) const {
     table_changes changes;
-    changes.version = m_version;
-    changes.whole = version < m_oldest_diff_version;
+    changes.position = m_position;
+    changes.whole = position.era != m_position.era || position.version < m_oldest_diff_version;
+    const auto version = position.version;
     for (const auto& [key, row] : m_rows) {
         if (changes.whole || row.version > version) {
             changes.rows.push_back(row);
--- a/src/serving/table_follower.hpp
+++ b/src/serving/table_follower.hpp
@@ -28,6 +28,9 @@
 // calls are charged as well.
 inline constexpr duration min_store_retry_delay = std::chrono::milliseconds(150);
 inline constexpr duration max_store_retry_delay = std::chrono::milliseconds(900);
+// Between two polls that a daemon of an earlier release causes, as its versions can't be
+// compared.
+inline constexpr duration min_hinted_poll_interval = std::chrono::milliseconds(500);
 // Number of removed rows that are kept as tombstones for daemons that ask for
 // changes.
 inline constexpr std::size_t max_removed_rows = 500;
@@ -37,7 +40,7 @@
     std::vector<store_row> rows;
     // The rows are the complete table; rows that are missing are removed.
     bool whole = false;
-    std::uint64_t version = 0;
+    store_position position;
 };
 
 class table_follower {
@@ -46,9 +49,13 @@
     // Called with all rows and with those that changed since the last call.
     using change_callback = std::function<void(const rows&, const std::vector<store_row>& changed)>;
 
+    // Called when the store has come back from an older copy, before the rows change.
+    using era_callback = std::function<void(std::uint64_t era)>;
+
     table_follower(store_table table, const std::string& store_address, const wire_protocol& wire, http_client& calls,
                    loop_timers& timers, change_callback on_change);
 
+    void set_on_new_era(era_callback on_new_era) { m_on_new_era = std::move(on_new_era); }
     // Loads the table from the store after `delay`, unless other daemons sent it
     // before.
     void start(duration delay);
@@ -59,12 +66,17 @@
     void set_store_reader(bool waits);
     // Applies changes from another daemon if they are newer than this copy.
     void apply_changes(const table_changes& changes);
-    // The changes that a daemon with `version` needs.
-    [[nodiscard]] table_changes changes_since(std::uint64_t version) const;
+    // The changes that a daemon at `position` needs.
+    [[nodiscard]] table_changes changes_since(const store_position& position) const;
+    // Another daemon may know of later changes, but can't tell: polls the store soon.
+    void poll_on_hint();
+    // Calls back with all rows, as if each had changed.
+    void repeat_rows();
 
-    // Version of the newest transaction that the rows include; 0 before any.
-    [[nodiscard]] std::uint64_t version() const { return m_version; }
-    [[nodiscard]] bool is_loaded() const { return m_version > 0; }
+    // The newest transaction that the rows include; zero before any.
+    [[nodiscard]] const store_position& position() const { return m_position; }
+    [[nodiscard]] std::uint64_t version() const { return m_position.version; }
+    [[nodiscard]] bool is_loaded() const { return m_position.version > 0; }
     // The table is loaded and the last store call succeeded.
     [[nodiscard]] bool is_store_reachable() const { return is_loaded() && !m_failing; }
     // When a call last failed; the current time while calls are failing.
@@ -80,7 +92,11 @@
     void call(const http_request& request, duration limit, std::function<void(const store_page&)> done);
     void on_answer(const call_result& result, const std::function<void(const store_page&)>& done);
     void on_failure(std::string_view reason);
-    void replace(rows fresh, std::uint64_t version);
+    // Takes in changes that the store gave out after `asked_from`.
+    void on_changes(const store_page& page, const store_position& asked_from);
+    // Loads the table anew: at once, but with growing pauses if the polls after that fail too.
+    void reload();
+    void replace(rows fresh, const store_position& position);
     void merge(const std::vector<store_row>& newer, std::uint64_t version);
     void note_removed(const store_row& row);
 
@@ -90,15 +106,19 @@
     http_client& m_calls;
     loop_timers& m_timers;
     change_callback m_on_change;
+    era_callback m_on_new_era;
     rows m_rows;
     rows m_loading;
-    // Version of the first page: rows on it may have changed since, before later pages.
-    std::optional<std::uint64_t> m_loading_version;
+    // Position of the first page: rows on it may have changed since, before later pages.
+    std::optional<store_position> m_loading_position;
     std::deque<store_row> m_removed;
     // Oldest version since which all changes are known; daemons with an older one
     // get the complete table.
     std::uint64_t m_oldest_diff_version = 0;
-    std::uint64_t m_version = 0;
+    store_position m_position;
+    // Reloads since the last changes.
+    unsigned m_reloads = 0;
+    time_point m_hinted_poll_at{};
     duration m_retry_delay = min_store_retry_delay;
     duration m_poll_period = non_reader_poll_period;
     loop_timers::subscription m_next_call{};
--- a/src/serving/wire_protocol.hpp
+++ b/src/serving/wire_protocol.hpp
@@ -8,6 +8,7 @@
 #include "reservation_lease.hpp"
 #include "server_registry.hpp"
 #include "server_report.hpp"
+#include "store_position.hpp"
 
 #include <optional>
 #include <span>
@@ -98,8 +99,8 @@
 
 struct store_page {
     std::vector<store_row> rows;
-    // Version of the newest transaction.
-    std::uint64_t version = 0;
+    // Position of the newest transaction.
+    store_position position;
     bool has_more = false;
 };
 
@@ -162,6 +163,8 @@
                                                  std::string_view value) const = 0;
     [[nodiscard]] virtual http_request remove_row(store_table table, std::string_view key) const = 0;
     [[nodiscard]] virtual std::variant<store_page, store_fault> read_page(const http_answer& answer) const = 0;
+    // The era that any answer of the store states; 0 if none.
+    [[nodiscard]] virtual std::uint64_t read_store_era(const http_answer& answer) const = 0;
 
     // Decode rows of operators and servers; empty for a row that is unusable.
     [[nodiscard]] virtual std::optional<desired_state> read_desired_state(const store_row& row) const = 0;
--- a/test/correctness/serving_platform_protocol.cpp
+++ b/test/correctness/serving_platform_protocol.cpp
@@ -319,7 +319,7 @@
         {"table":"op","part":"","key":"old","ver":5,"deleted":true}],"has-more":true,"ver":9,"server-time-ms":1})");
     REQUIRE(std::holds_alternative<store_page>(page));
     const auto& rows = std::get<store_page>(page).rows;
-    CHECK(std::get<store_page>(page).version == 9);
+    CHECK(std::get<store_page>(page).position.version == 9);
     CHECK(rows[0].value == "node-1");
     CHECK(rows[1].removed);
     CHECK(std::get<store_fault>(answer(410, "")) == store_fault::history_gone);
--- a/test/rig/serving_rig.cpp
+++ b/test/rig/serving_rig.cpp
@@ -1,6 +1,9 @@
 #include "serving_rig.hpp"
 
 #include <QByteArray>
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
 
 #include <boost/asio/write.hpp>
 
@@ -18,10 +21,9 @@
 
 constexpr auto max_wait = 5s;
 
-std::string json_answer(int status, const std::string& body) {
-    return "HTTP/1.1 " + std::to_string(status) +
-           " Status\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-           body;
+std::string json_answer(int status, const std::string& body, const std::string& more_fields) {
+    return "HTTP/1.1 " + std::to_string(status) + " Status\r\nContent-Type: application/json\r\n" + more_fields +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 std::string query_value(const std::string& target, const std::string& name) {
@@ -125,51 +127,98 @@
           answer(request, session);
       }) {}
 
-std::string scripted_store::page(const std::string& table, std::uint64_t after) const {
+std::string scripted_store::page(const std::string& table, std::uint64_t after, bool changes_only) const {
     std::string rows;
-    const auto found = m_tables.find(table);
-    if (found != m_tables.end()) {
+    const auto found = m_state.tables.find(table);
+    if (found != m_state.tables.end()) {
         for (const auto& [key, row] : found->second) {
-            if (row.second <= after) {
+            if (row.version <= after || (row.removed && !changes_only)) {
                 continue;
             }
-            const auto value = QByteArray::fromStdString(row.first).toBase64().toStdString();
+            const auto value = QByteArray::fromStdString(row.value).toBase64().toStdString();
             rows += (rows.empty() ? "" : ",") + std::string(R"({"table":")") + table + R"(","part":"","key":")" + key +
-                    R"(","value":")" + value + R"(","ver":)" + std::to_string(row.second) + "}";
+                    R"(","value":")" + value + R"(","ver":)" + std::to_string(row.version) +
+                    (row.removed ? R"(,"deleted":true})" : "}");
         }
     }
-    return R"({"rows":[)" + rows + R"(],"has-more":false,"ver":)" + std::to_string(m_version) +
+    return R"({"rows":[)" + rows + R"(],"has-more":false,"ver":)" + std::to_string(m_state.version) +
            R"(,"server-time-ms":1})";
 }
 
+std::string scripted_store::reply(int status, const std::string& body) const {
+    return json_answer(status, body, "Store-Era: " + std::to_string(m_era) + "\r\n");
+}
+
 void scripted_store::put(const std::string& table, const std::string& key, const std::string& value) {
-    m_tables[table][key] = {value, ++m_version};
+    m_state.tables[table][key] = {value, ++m_state.version, false};
+    answer_waiting(table);
+}
+
+void scripted_store::remove(const std::string& table, const std::string& key) {
+    m_state.tables[table][key] = {{}, ++m_state.version, true};
+    answer_waiting(table);
+}
+
+std::string scripted_store::value_of(const std::string& table, const std::string& key) const {
+    const auto rows = m_state.tables.find(table);
+    if (rows == m_state.tables.end() || !rows->second.contains(key)) {
+        return {};
+    }
+    return rows->second.at(key).value;
+}
+
+void scripted_store::restore_copy() {
+    m_state = m_copy;
+    ++m_era;
+    for (const auto& call : std::exchange(m_waiting, {})) {
+        call.session->write(reply(410, "{}"));
+    }
+}
+
+void scripted_store::answer_waiting(const std::string& table) {
     for (const auto& call : std::exchange(m_waiting, {})) {
         if (call.table == table) {
-            call.session->write(json_answer(200, page(table, call.after)));
+            call.session->write(reply(200, page(table, call.after, true)));
         } else {
             m_waiting.push_back(call);
         }
     }
 }
 
+void scripted_store::apply(const std::string& transaction) {
+    const auto body = QJsonDocument::fromJson(QByteArray::fromStdString(transaction)).object();
+    for (const auto& entry : body["put"].toArray()) {
+        const auto row = entry.toObject();
+        put(row["table"].toString().toStdString(), row["key"].toString().toStdString(),
+            QByteArray::fromBase64(row["value"].toString().toLatin1()).toStdString());
+    }
+    for (const auto& entry : body["remove"].toArray()) {
+        const auto row = entry.toObject();
+        remove(row["table"].toString().toStdString(), row["key"].toString().toStdString());
+    }
+}
+
 void scripted_store::answer(const http_request& request, const std::shared_ptr<scripted_server::session>& session) {
     if (!m_serving) {
-        session->write(json_answer(503, "{}"));
+        session->write(reply(503, "{}"));
         return;
     }
     const auto table = query_value(request.target, "table");
     if (request.target.starts_with("/api/rows-get")) {
-        session->write(json_answer(200, page(table, 0)));
+        session->write(reply(200, page(table, 0, false)));
     } else if (request.target.starts_with("/api/rows-feed")) {
         const auto after = std::stoull(query_value(request.target, "after"));
-        if (after < m_version && page(table, after).find("\"key\"") != std::string::npos) {
-            session->write(json_answer(200, page(table, after)));
+        const auto changes = page(table, after, true);
+        if (after > m_state.version) {
+            session->write(reply(410, "{}"));
+        } else if (changes.find("\"key\"") != std::string::npos || query_value(request.target, "wait-ms") == "0") {
+            session->write(reply(200, changes));
         } else {
             m_waiting.push_back({table, after, session});
         }
     } else {
-        session->write(json_answer(200, R"({"ver":1,"server-time-ms":1})"));
+        apply(request.body);
+        session->write(reply(200, R"({"ver":)" + std::to_string(m_state.version) + R"(,"server-time-ms":1})"));
     }
 }
 
--- a/test/rig/serving_rig.hpp
+++ b/test/rig/serving_rig.hpp
@@ -69,8 +69,19 @@
     explicit scripted_store(boost::asio::io_context& loop);
     [[nodiscard]] const std::string& address() const { return m_server.address(); }
     void put(const std::string& table, const std::string& key, const std::string& value);
+    void remove(const std::string& table, const std::string& key);
+    // The value of a row; empty if there is none.
+    [[nodiscard]] std::string value_of(const std::string& table, const std::string& key) const;
+    // Counts rows that were written without a change of their own table, as other writers do.
+    void skip_versions(std::uint64_t count) { m_state.version += count; }
     // While false, all calls are answered with status 503.
     void set_serving(bool serving) { m_serving = serving; }
+    // Keeps a copy of all rows.
+    void take_copy() { m_copy = m_state; }
+    // The store comes back from the copy, under the next era. Waiting calls are answered 410.
+    void restore_copy();
+    // Calls so far.
+    [[nodiscard]] std::size_t calls() const { return m_server.requests().size(); }
 
 private:
     struct waiting_call {
@@ -78,13 +89,27 @@
         std::uint64_t after = 0;
         std::shared_ptr<scripted_server::session> session;
     };
+    struct stored_row {
+        std::string value;
+        std::uint64_t version = 0;
+        bool removed = false;
+    };
+    struct state {
+        std::map<std::string, std::map<std::string, stored_row>> tables;
+        std::uint64_t version = 1;
+    };
     void answer(const http_request& request, const std::shared_ptr<scripted_server::session>& session);
-    [[nodiscard]] std::string page(const std::string& table, std::uint64_t after) const;
+    // Applies a transaction that a daemon sent.
+    void apply(const std::string& transaction);
+    void answer_waiting(const std::string& table);
+    [[nodiscard]] std::string reply(int status, const std::string& body) const;
+    [[nodiscard]] std::string page(const std::string& table, std::uint64_t after, bool changes_only) const;
 
     scripted_server m_server;
-    std::map<std::string, std::map<std::string, std::pair<std::string, std::uint64_t>>> m_tables;
+    state m_state;
+    state m_copy;
+    std::uint64_t m_era = 1;
     std::vector<waiting_call> m_waiting;
-    std::uint64_t m_version = 1;
     bool m_serving = true;
 };
 
