Pass on streams whose event ids increase by more than one

Cause: exchange::on_events took each id that is not the one before plus one for a missing event.

Evidence: the record shows the first event passed on, the first server given up at the second, and the other server, asked to go on after 51, giving 102 again. Ruled out: a server that goes on wrongly; streams that never break off are cut too.

Fix: the check is gone. Within one run the connection and its framing keep the order; a resumed stream starts behind the last whole event that was sent to the caller, and events up to that are left out. One assumption beside it was wrong in the same way: a stream whose newest event bears no id was continued all the same, and its event came twice. Such a stream is cut instead; comments don't count.

--- a/src/routing/attempt_policy.cpp
+++ b/src/routing/attempt_policy.cpp
@@ -9,7 +9,7 @@
         return false;
     }
     if (history.answer_begun) {
-        return matched.resumable;
+        return may_continue(matched, history);
     }
     return history.may_have_run == 0 || matched.retry == retry_rule::idempotent;
 }
@@ -71,6 +71,10 @@
 
 }  // namespace
 
+bool may_continue(const route& matched, const attempt_history& history) {
+    return matched.resumable && history.position_known;
+}
+
 attempt_decision decide_next(const route& matched, const attempt_history& history, const attempt_outcome& outcome) {
     return std::visit(outcome_visitor(matched, history), outcome);
 }
--- a/src/routing/attempt_policy.hpp
+++ b/src/routing/attempt_policy.hpp
@@ -36,6 +36,8 @@
     int not_sent = 0;
     // Part of the answer was already sent to the caller.
     bool answer_begun = false;
+    // The newest event of the stream bears an id, from which another server can go on.
+    bool position_known = true;
 };
 
 struct try_another_server {
@@ -60,6 +62,9 @@
 // request without running it: the maximum counts servers that run a request.
 inline constexpr int extra_attempts_for_rejections = 1;
 
+// An answer that has begun may be continued by another server.
+bool may_continue(const route& matched, const attempt_history& history);
+
 attempt_decision decide_next(const route& matched, const attempt_history& history, const attempt_outcome& outcome);
 
 }  // namespace verbenahold::serving
--- a/src/routing/event_splitter.cpp
+++ b/src/routing/event_splitter.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace verbenahold::serving {
 
@@ -28,13 +29,16 @@
     return 0;
 }
 
-std::optional<std::int64_t> id_of(std::string_view event) {
+// Reads the fields of an event that matter here.
+stream_event parse_event(std::string text) {
+    stream_event event;
     std::size_t begin = 0;
-    while (begin < event.size()) {
-        const auto end = std::min(event.find('\n', begin), event.size());
-        auto line = event.substr(begin, end - begin);
+    while (begin < text.size()) {
+        const auto end = std::min(text.find('\n', begin), text.size());
+        auto line = std::string_view(text).substr(begin, end - begin);
         begin = end + 1;
-        if (!line.starts_with("id:")) {
+        event.has_data = event.has_data || line.starts_with("data");
+        if (event.id || !line.starts_with("id:")) {
             continue;
         }
         line.remove_prefix(3);
@@ -44,10 +48,11 @@
         std::int64_t id = 0;
         const auto parsed = std::from_chars(line.data(), line.data() + line.size(), id);
         if (parsed.ec == std::errc{}) {
-            return id;
+            event.id = id;
         }
     }
-    return std::nullopt;
+    event.bytes = std::move(text);
+    return event;
 }
 
 }  // namespace
@@ -57,9 +62,7 @@
     std::vector<stream_event> events;
     std::size_t begin = 0;
     while (const auto length = event_length(std::string_view(m_partial).substr(begin))) {
-        auto event = m_partial.substr(begin, length);
-        const auto id = id_of(event);
-        events.push_back({std::move(event), id});
+        events.push_back(parse_event(m_partial.substr(begin, length)));
         begin += length;
     }
     m_partial.erase(0, begin);
--- a/src/routing/event_splitter.hpp
+++ b/src/routing/event_splitter.hpp
@@ -15,6 +15,8 @@
     std::string bytes;
     // The event's id, if it is an integer.
     std::optional<std::int64_t> id;
+    // False for comments alone.
+    bool has_data = false;
 };
 
 class event_splitter {
--- a/src/serving/exchange_attempts.cpp
+++ b/src/serving/exchange_attempts.cpp
@@ -277,18 +277,15 @@
     }
     std::string bytes;
     for (auto& event : events) {
-        if (event.id && m_last_event) {
-            if (*event.id <= *m_last_event) {
-                continue;
-            }
-            if (*event.id > *m_last_event + 1) {
-                handle_outcome(attempt_outcome_unknown{}, "an event is missing");
-                return;
-            }
+        // A server that continues the stream may send again what the caller has. Ids increase by
+        // any amount, so a gap between them says nothing.
+        if (event.id && m_last_event && *event.id <= *m_last_event) {
+            continue;
         }
         if (event.id) {
             m_last_event = event.id;
         }
+        m_history.position_known = event.id || (m_history.position_known && !event.has_data);
         bytes += event.bytes;
     }
     if (events.empty()) {
--- a/src/serving/exchange_silence.cpp
+++ b/src/serving/exchange_silence.cpp
@@ -56,7 +56,8 @@
         return;
     }
     const bool spare_attempt = m_history.may_have_run < m_route->max_attempts;
-    const bool allowed = m_history.answer_begun ? m_route->resumable : m_route->retry == retry_rule::idempotent;
+    const bool allowed =
+        m_history.answer_begun ? may_continue(*m_route, m_history) : m_route->retry == retry_rule::idempotent;
     if (!spare_attempt || !allowed) {
         return;
     }
--- a/test/correctness/core_event_splitter.cpp
+++ b/test/correctness/core_event_splitter.cpp
@@ -41,3 +41,12 @@
     splitter.feed(std::string(event_splitter::max_event_bytes + 1, 'x'));
     CHECK(splitter.overflowed());
 }
+
+TEST_CASE("comments alone are told from events with data") {
+    event_splitter splitter;
+    const auto events = splitter.feed(": alive\n\nid: 51\ndata: a\n\ndata\n\n");
+    REQUIRE(events.size() == 3);
+    CHECK_FALSE(events[0].has_data);
+    CHECK((events[1].has_data && events[1].id == 51));
+    CHECK((events[2].has_data && !events[2].id));
+}
