Suspect every part of a prompt, and tell of sets of traits whole

Cause: bounds on memory and datagrams were caps on what may be suspected. A request counted with its first 99 parts, a crash with the 256 lowest hashes of all requests lost in it, and heartbeats left out what had no room, the same each time. What was told at once had no bound: a long request made a datagram that its receivers cut off, with the work told in it.

Fix: all parts are traits, bounded by the header's length. suspect_index keeps, for each trait, the set of crashes that it is suspected of; at 200,000 traits it forgets the oldest crashes whole. Sets that don't fit in one message are told in parts of 64, in turn in heartbeats, and used only when they are whole: a crash without some of its suspects holds the others responsible, and a block without some of its traits refuses more requests. Blocks that a wider one implies are no longer told. Of a crash only what is new is told.

Why it works: of a crash that is kept no suspect is missing, so what several share is among them. At the longest prompts and 16 lost together the last ten crashes are kept; three suffice.

--- a/src/routing/crash_attribution.cpp
+++ b/src/routing/crash_attribution.cpp
@@ -3,7 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <iterator>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -22,8 +22,11 @@
     return result;
 }
 
+// Both are sorted; `some` are mostly few.
 bool contains(std::span<const request_trait> all, std::span<const request_trait> some) {
-    return std::includes(all.begin(), all.end(), some.begin(), some.end());
+    return some.size() <= all.size() && std::all_of(some.begin(), some.end(), [&](request_trait trait) {
+               return std::binary_search(all.begin(), all.end(), trait);
+           });
 }
 
 // Number of times, where those within the coincidence window of an earlier one count
@@ -74,93 +77,84 @@
     at = std::max(at, began);
 }
 
-bool crash_attribution::on_crash(const crash_observation& seen, time_point now) {
+crash_attribution::trait_set crash_attribution::on_crash(const crash_observation& seen, time_point now) {
     drop_expired(now);
-    trait_set added = sorted(seen.traits);
-    block_again(added, seen.at, now);
-    std::erase_if(added, [&](request_trait trait) { return was_sound_after(trait, seen.at); });
-    if (added.empty()) {
-        return false;
-    }
-    auto& known = m_crashes[seen.server_run];
-    known.at = known.suspects.empty() ? seen.at : std::min(known.at, seen.at);
-    if (contains(known.suspects, added)) {
-        return false;
+    trait_set suspects = sorted(seen.traits);
+    block_again(suspects, seen.at, now);
+    std::erase_if(suspects, [&](request_trait trait) { return was_sound_after(trait, seen.at); });
+    auto added = m_suspects.add(seen.server_run, seen.at, suspects);
+    if (!added.empty()) {
+        attribute(now);
     }
-    trait_set merged;
-    std::set_union(known.suspects.begin(), known.suspects.end(), added.begin(), added.end(),
-                   std::back_inserter(merged));
-    merged.resize(std::min(merged.size(), max_traits_per_crash));
-    known.suspects = std::move(merged);
-    attribute(now);
-    return true;
+    return added;
 }
 
-bool crash_attribution::on_sound_request(std::span<const request_trait> traits, time_point began, time_point now) {
-    bool is_news = false;
-    for (auto& [run, found] : m_crashes) {
-        if (found.at < began) {
-            is_news |= std::erase_if(found.suspects, [&](request_trait trait) {
-                           return std::find(traits.begin(), traits.end(), trait) != traits.end();
-                       }) > 0;
-        }
-    }
+crash_attribution::trait_set crash_attribution::on_sound_request(std::span<const request_trait> traits,
+                                                                 time_point began, time_point now) {
     const auto all = sorted(traits);
+    const auto cleared = m_suspects.clear(all, began);
+    trait_set news = cleared;
     for (auto& [blocked, state] : m_blocks) {
         if (state.is_active(now) && state.expires - block_time < began && contains(all, blocked)) {
             state.cleared = true;
-            is_news = true;
+            news.insert(news.end(), blocked.begin(), blocked.end());
         }
     }
-    for (const auto trait : traits) {
+    for (const auto trait : all) {
         remember_sound(trait, began, now);
     }
-    if (is_news) {
-        std::erase_if(m_crashes, [](const auto& entry) { return entry.second.suspects.empty(); });
+    if (!news.empty()) {
         // Fewer suspects may tell the others apart.
         attribute(now);
     }
-    return is_news;
+    return sorted(news);
 }
 
-bool crash_attribution::is_explained_without(request_trait trait, const crash& found, time_point now) const {
-    return std::any_of(m_blocks.begin(), m_blocks.end(), [&](const auto& entry) {
-        const auto& [blocked, state] = entry;
-        return state.is_active(now) && contains(found.suspects, blocked) &&
-               !std::binary_search(blocked.begin(), blocked.end(), trait);
-    });
-}
-
-bool crash_attribution::is_implied(const trait_set& traits, time_point now) const {
+bool crash_attribution::is_implied(std::span<const request_trait> traits, time_point now) const {
     return std::any_of(m_blocks.begin(), m_blocks.end(),
                        [&](const auto& entry) { return entry.second.is_active(now) && contains(traits, entry.first); });
 }
 
-crash_attribution::trait_set crash_attribution::find_culprit(time_point now) const {
-    std::map<request_trait, std::vector<time_point>> crashes_of;
-    for (const auto& [run, found] : m_crashes) {
-        for (const auto trait : found.suspects) {
-            if (!is_explained_without(trait, found, now)) {
-                crashes_of[trait].push_back(found.at);
+std::vector<std::pair<request_trait, crash_set>> crash_attribution::list_unexplained(time_point now) const {
+    auto repeated = m_suspects.list_repeated();
+    if (repeated.empty()) {
+        return repeated;
+    }
+    for (const auto& [blocked, state] : m_blocks) {
+        const auto explained = state.is_active(now) ? m_suspects.crashes_of_all(blocked) : crash_set();
+        if (explained.empty()) {
+            continue;
+        }
+        for (auto& [trait, crashes] : repeated) {
+            if (!std::binary_search(blocked.begin(), blocked.end(), trait)) {
+                crashes -= explained;
             }
         }
     }
+    std::erase_if(repeated, [](const auto& entry) { return entry.second.size() < suspect_index::repeated_crashes; });
+    return repeated;
+}
+
+crash_attribution::trait_set crash_attribution::find_culprit(time_point now) const {
+    const auto unexplained = list_unexplained(now);
     trait_set culprit;
     std::size_t most = 0;
-    for (const auto& [trait, times] : crashes_of) {
-        if (times.size() <= most || count_occasions(times) < crashes_to_block) {
+    std::set<crash_set> seen;
+    for (const auto& [trait, crashes] : unexplained) {
+        if (crashes.size() <= most || !seen.insert(crashes).second ||
+            count_occasions(m_suspects.times_of(crashes)) < crashes_to_block) {
             continue;
         }
         // Traits of the same crashes can't be told apart, so that only requests with
         // all of them are blocked.
         trait_set together;
-        for (const auto& [other, others_times] : crashes_of) {
-            if (others_times == times) {
+        for (const auto& [other, others_crashes] : unexplained) {
+            if (others_crashes == crashes) {
                 together.push_back(other);
             }
         }
         if (!is_implied(together, now)) {
-            most = times.size();
+            most = crashes.size();
             culprit = std::move(together);
         }
     }
@@ -215,7 +209,10 @@
 }
 
 bool crash_attribution::is_blocked(std::span<const request_trait> traits, time_point now) const {
-    return !m_blocks.empty() && is_implied(sorted(traits), now);
+    if (m_blocks.empty()) {
+        return false;
+    }
+    return std::is_sorted(traits.begin(), traits.end()) ? is_implied(traits, now) : is_implied(sorted(traits), now);
 }
 
 std::vector<trait_block> crash_attribution::take_new_blocks() {
@@ -230,31 +227,32 @@
 std::vector<trait_block> crash_attribution::list_blocks(time_point now) const {
     std::vector<trait_block> blocks;
     for (const auto& [traits, state] : m_blocks) {
-        if (state.expires > now) {
+        if (state.expires > now && !is_implied_by_wider(traits, state, now)) {
             blocks.push_back({traits, state.round, state.cleared, state.expires});
         }
     }
     return blocks;
 }
 
+// Says nothing that the wider block, of fewer traits, doesn't say for as long.
+bool crash_attribution::is_implied_by_wider(const trait_set& traits, const block_state& own, time_point now) const {
+    return !own.cleared && std::any_of(m_blocks.begin(), m_blocks.end(), [&](const auto& entry) {
+        const auto& [other, state] = entry;
+        return other.size() < traits.size() && state.is_active(now) && state.expires >= own.expires &&
+               contains(traits, other);
+    });
+}
+
 std::vector<crash_observation> crash_attribution::list_recent_crashes(time_point now) const {
     std::vector<crash_observation> crashes;
-    for (const auto& [run, found] : m_crashes) {
-        if (now - found.at < crash_announcement_time) {
-            crashes.push_back({run, found.at, found.suspects});
-        }
+    for (auto& known : m_suspects.list_since(now - crash_announcement_time)) {
+        crashes.push_back({known.server_run, known.at, std::move(known.suspects)});
     }
-    std::sort(crashes.begin(), crashes.end(), [](const auto& left, const auto& right) { return left.at > right.at; });
     return crashes;
 }
 
 void crash_attribution::drop_expired(time_point now) {
-    std::erase_if(m_crashes, [&](const auto& entry) { return now - entry.second.at > crash_retention; });
-    if (m_crashes.size() >= max_crashes) {
-        m_crashes.erase(std::min_element(m_crashes.begin(), m_crashes.end(), [](const auto& left, const auto& right) {
-            return left.second.at < right.second.at;
-        }));
-    }
+    m_suspects.forget_before(now - crash_retention);
     std::erase_if(m_blocks, [&](const auto& entry) { return now - entry.second.expires > relapse_time; });
     if (m_blocks.size() >= max_blocks) {
         m_blocks.erase(std::min_element(m_blocks.begin(), m_blocks.end(), [](const auto& left, const auto& right) {
--- a/src/routing/crash_attribution.hpp
+++ b/src/routing/crash_attribution.hpp
@@ -6,6 +6,8 @@
 // so that hosts which start, stand by or were cut off agree with the others later.
 #pragma once
 
+#include "suspect_index.hpp"
+
 #include "verbenahold/types.hpp"
 
 #include <cstdint>
@@ -17,9 +19,6 @@
 
 namespace verbenahold::serving {
 
-// Hash of a property that several requests may have.
-using request_trait = std::uint64_t;
-
 // Trait that a request and its repeats by the caller share.
 request_trait trait_of_request(std::string_view account, std::string_view target, std::string_view body);
 // Trait of all requests to a service whose prompts have this part.
@@ -29,7 +28,7 @@
 
 // Crashes after which a combination of traits is blocked. A single lost answer may be
 // due to the network.
-inline constexpr int crashes_to_block = 3;
+inline constexpr int crashes_to_block = static_cast<int>(suspect_index::repeated_crashes);
 // Crashes closer together than this count as one, since servers that are lost at the
 // same moment have a common cause outside the requests.
 inline constexpr duration coincidence_window = std::chrono::milliseconds(100);
@@ -39,10 +38,8 @@
 // For this long after a block has expired, one crash is enough to block again.
 inline constexpr duration relapse_time = std::chrono::hours(1);
 // Bounds on what is kept.
-inline constexpr std::size_t max_crashes = 256;
-inline constexpr std::size_t max_traits_per_crash = 256;
 inline constexpr std::size_t max_blocks = 256;
-inline constexpr std::size_t max_sound_traits = 10'000;
+inline constexpr std::size_t max_sound_traits = 50'000;
 // How long other daemons are told of a crash, and how long it is remembered that a
 // trait was sound, so that late word of a crash before that is recognized.
 inline constexpr duration crash_announcement_time = std::chrono::seconds(10);
@@ -68,12 +65,14 @@
 
 class crash_attribution {
 public:
-    // A server ended before it had begun to answer a request with these traits. True
-    // if that was not known.
-    bool on_crash(const crash_observation& crash, time_point now);
-    // A server began to answer a request with these traits at `began` and went on. True
-    // if that speaks against a known crash or block, so that others should know.
-    bool on_sound_request(std::span<const request_trait> traits, time_point began, time_point now);
+    using trait_set = std::vector<request_trait>;
+
+    // A server ended before it had begun to answer a request with these traits. Returns
+    // those that were not suspected of this crash yet, sorted: what others should know.
+    trait_set on_crash(const crash_observation& crash, time_point now);
+    // A server began to answer a request with these traits at `began` and went on. Returns
+    // those of them that were suspected or blocked, sorted: what others should know.
+    trait_set on_sound_request(std::span<const request_trait> traits, time_point began, time_point now);
     // Takes in a block that another daemon reported.
     void on_reported_block(const trait_block& reported, time_point now);
 
@@ -82,21 +81,17 @@
     std::vector<trait_block> take_new_blocks();
 
     [[nodiscard]] std::size_t count_active_blocks(time_point now) const;
+    // Traits that are suspected of crashes now.
+    [[nodiscard]] std::size_t count_suspects() const { return m_suspects.suspects(); }
 
-    // What other daemons should know: blocks that have not expired, and recent crashes,
-    // newest first, with the traits that may have caused them.
+    // What other daemons should know: blocks that have not expired and that no wider one
+    // implies, and recent crashes, newest first, with the traits that may have caused them.
     [[nodiscard]] std::vector<trait_block> list_blocks(time_point now) const;
     [[nodiscard]] std::vector<crash_observation> list_recent_crashes(time_point now) const;
 
 private:
-    using trait_set = std::vector<request_trait>;
     using sound_times = std::unordered_map<request_trait, time_point>;
 
-    struct crash {
-        time_point at{};
-        // Those that may have caused it, sorted.
-        trait_set suspects;
-    };
     struct block_state {
         std::uint32_t round = 0;
         bool cleared = false;
@@ -107,9 +102,12 @@
 
     [[nodiscard]] bool was_sound_after(request_trait trait, time_point at) const;
     void remember_sound(request_trait trait, time_point began, time_point now);
-    // Whether a block that `trait` is no part of accounts for the crash.
-    [[nodiscard]] bool is_explained_without(request_trait trait, const crash& found, time_point now) const;
-    [[nodiscard]] bool is_implied(const trait_set& traits, time_point now) const;
+    // The traits that several crashes have in common, each with those of its crashes for which
+    // no active block accounts that it is no part of.
+    [[nodiscard]] std::vector<std::pair<request_trait, crash_set>> list_unexplained(time_point now) const;
+    // `traits` are sorted.
+    [[nodiscard]] bool is_implied(std::span<const request_trait> traits, time_point now) const;
+    [[nodiscard]] bool is_implied_by_wider(const trait_set& traits, const block_state& own, time_point now) const;
     // The combination with the most crashes that should be blocked and is not; empty
     // if there is none.
     [[nodiscard]] trait_set find_culprit(time_point now) const;
@@ -119,8 +117,7 @@
     void block_again(std::span<const request_trait> lost, time_point at, time_point now);
     void drop_expired(time_point now);
 
-    // By server run.
-    std::map<std::uint64_t, crash> m_crashes;
+    suspect_index m_suspects;
     // When a server last began to answer a request with the trait; two generations, of
     // which the older is dropped.
     sound_times m_sound_at;
--- a/src/serving/exchange.cpp
+++ b/src/serving/exchange.cpp
@@ -28,8 +28,6 @@
 // Retry-After for a request that crashed its servers: long, since a retry is
 // likely to crash another one.
 constexpr duration retry_after_crashes = std::chrono::seconds(60);
-// Traits of one request have room in a datagram to other daemons.
-constexpr std::size_t max_traits_per_request = 100;
 // Until this time after its start, a daemon has not heard of all work that others have in
 // progress: two heartbeats of active daemons. Long prompts have that much time.
 constexpr duration load_settling_time = std::chrono::milliseconds(600);
@@ -138,11 +136,10 @@
         m_account != nullptr ? std::string_view(m_account->name.value) : std::string_view();
     std::vector<request_trait> found{trait_of_request(account, m_request.request.target, m_request.request.body)};
     for (const auto& part : m_request.shared_parts) {
-        if (found.size() >= max_traits_per_request) {
-            break;
-        }
         found.push_back(trait_of_part(m_service->name.value, part));
     }
+    std::sort(found.begin(), found.end());
+    found.erase(std::unique(found.begin(), found.end()), found.end());
     return found;
 }
 
--- a/src/serving/exchange.hpp
+++ b/src/serving/exchange.hpp
@@ -106,6 +106,7 @@
     // Finds the request's route, account and service in the desired state. False if the
     // request was answered instead.
     bool resolve();
+    // Sorted. Their number is bounded by the length of a request's header.
     [[nodiscard]] std::vector<request_trait> traits() const;
     [[nodiscard]] bool crashes_servers() const;
     // Chooses servers among those that were not tried yet.
--- a/src/serving/exchange_attempts.cpp
+++ b/src/serving/exchange_attempts.cpp
@@ -431,8 +431,10 @@
 }
 
 void exchange::note_sound(time_point began) {
-    if (m_state.crashes.on_sound_request(m_traits, began, m_state.timers.now()) && m_state.notices.on_sound_request) {
-        m_state.notices.on_sound_request(m_traits, began);
+    const auto news = m_state.crashes.on_sound_request(m_traits, began, m_state.timers.now());
+    if (!news.empty() && m_state.notices.on_sound_request) {
+        // Others may suspect further traits of a crash.
+        m_state.notices.on_sound_request(m_traits.size() <= max_traits_per_message ? m_traits : news, began);
     }
 }
 
@@ -442,8 +444,9 @@
     }
     const auto& server = m_attempt->placed.primary;
     const auto now = m_state.timers.now();
-    const crash_observation crash{make_server_run(server.id.value, server.started_at_unix_ms), now, m_traits};
-    if (m_state.crashes.on_crash(crash, now) && m_state.notices.on_crash) {
+    crash_observation crash{make_server_run(server.id.value, server.started_at_unix_ms), now, m_traits};
+    crash.traits = m_state.crashes.on_crash(crash, now);
+    if (!crash.traits.empty() && m_state.notices.on_crash) {
         m_state.notices.on_crash(crash);
     }
 }
--- a/src/serving/gateway_state.hpp
+++ b/src/serving/gateway_state.hpp
@@ -42,6 +42,9 @@
 // in its datagram.
 inline constexpr std::size_t max_announced_prefixes = 8;
 
+// Traits of a crash, a block or a sound request in one message between daemons.
+inline constexpr std::size_t max_traits_per_message = 64;
+
 struct work_update {
     work_id id;
     work_event event = work_event::started;
--- a/src/serving/peer_link.cpp
+++ b/src/serving/peer_link.cpp
@@ -113,12 +113,74 @@
     message.set_started_at_unix_ms(leaving.started_at_unix_ms);
 }
 
+// A crash or a block whose traits don't fit in one message, and one part of them.
+template <class Item>
+struct part_of {
+    const Item* item = nullptr;
+    std::span<const request_trait> traits;
+    trait_set_id set;
+};
+
+template <class Item>
+bool fits_in_message(const Item& item) {
+    return item.traits.size() <= max_traits_per_message;
+}
+
+template <class Item>
+void add_parts(std::vector<part_of<Item>>& parts, const Item& item) {
+    const std::span<const request_trait> all(item.traits);
+    const trait_set_id set{digest_of(all), all.size()};
+    for (std::size_t first = 0; first < all.size(); first += max_traits_per_message) {
+        parts.push_back({&item, all.subspan(first, std::min(max_traits_per_message, all.size() - first)), set});
+    }
+}
+
+// Separates what fits in one message from what has to be sent in parts.
+template <class Item>
+std::pair<std::vector<Item>, std::vector<part_of<Item>>> split_by_size(const std::vector<Item>& items) {
+    std::pair<std::vector<Item>, std::vector<part_of<Item>>> split;
+    for (const auto& item : items) {
+        if (fits_in_message(item)) {
+            split.first.push_back(item);
+        } else {
+            add_parts(split.second, item);
+        }
+    }
+    return split;
+}
+
+template <class Message>
+void name_set(Message& message, const trait_set_id& set) {
+    message.set_set(set.digest);
+    message.set_set_size(static_cast<std::uint32_t>(set.size));
+}
+
+void fill_crash_part(wire::CrashPart& message, const part_of<crash_observation>& part, time_point now) {
+    name_set(message, part.set);
+    auto& crash = *message.mutable_crash();
+    crash.set_server_run(part.item->server_run);
+    crash.set_age_ms(milliseconds_of(now - part.item->at));
+    crash.mutable_traits()->Add(part.traits.begin(), part.traits.end());
+}
+
+void fill_block_part(wire::BlockPart& message, const part_of<trait_block>& part, time_point now) {
+    name_set(message, part.set);
+    auto& block = *message.mutable_block();
+    block.set_round(part.item->round);
+    block.set_cleared(part.item->cleared);
+    block.set_expires_in_ms(milliseconds_of(part.item->expires - now));
+    block.mutable_traits()->Add(part.traits.begin(), part.traits.end());
+}
+
 // Fills messages from a list, beginning at `first`, as far as the datagram has room.
 // Returns the first item that had none, with which the next datagram should begin.
 template <class Item, class Message>
 std::size_t fill_in_turn(std::span<const Item> items, std::size_t first, wire::Datagram& datagram,
                          google::protobuf::RepeatedPtrField<Message>& messages,
                          void (*fill)(Message&, const Item&, time_point), time_point now) {
+    // Smaller items may still have room behind one that has none.
+    constexpr int max_misses = 8;
+    int misses = 0;
     std::optional<std::size_t> left_out;
     for (std::size_t position = 0; position < items.size(); ++position) {
         const auto index = (first + position) % items.size();
@@ -126,6 +188,9 @@
         if (datagram.ByteSizeLong() > max_datagram_bytes) {
             messages.RemoveLast();
             left_out = left_out.value_or(index);
+            if (++misses >= max_misses) {
+                break;
+            }
         }
     }
     return left_out.value_or(0);
@@ -268,14 +333,30 @@
     for (const auto& sound : datagram.sound_requests()) {
         m_state.crashes.on_sound_request(traits_of(sound), now - std::chrono::milliseconds(sound.age_ms()), now);
     }
-    for (const auto& block : datagram.blocks()) {
+    const auto take_block = [&](const wire::TraitBlock& block, std::vector<request_trait> traits) {
         m_state.crashes.on_reported_block(
-            {traits_of(block), block.round(), block.cleared(), now + std::chrono::milliseconds(block.expires_in_ms())},
+            {std::move(traits), block.round(), block.cleared(), now + std::chrono::milliseconds(block.expires_in_ms())},
             now);
+    };
+    const auto take_crash = [&](const wire::ServerCrash& crash, std::vector<request_trait> traits) {
+        m_state.crashes.on_crash(
+            {crash.server_run(), now - std::chrono::milliseconds(crash.age_ms()), std::move(traits)}, now);
+    };
+    for (const auto& block : datagram.blocks()) {
+        take_block(block, traits_of(block));
+    }
+    for (const auto& part : datagram.block_parts()) {
+        if (auto whole = m_trait_sets.add({part.set(), part.set_size()}, traits_of(part.block()))) {
+            take_block(part.block(), std::move(*whole));
+        }
     }
     for (const auto& crash : datagram.crashes()) {
-        m_state.crashes.on_crash(
-            {crash.server_run(), now - std::chrono::milliseconds(crash.age_ms()), traits_of(crash)}, now);
+        take_crash(crash, traits_of(crash));
+    }
+    for (const auto& part : datagram.crash_parts()) {
+        if (auto whole = m_trait_sets.add({part.set(), part.set_size()}, traits_of(part.crash()))) {
+            take_crash(part.crash(), std::move(*whole));
+        }
     }
     for (const auto& death : datagram.deaths()) {
         if (death.deaths() >= crashes_to_block) {
@@ -409,11 +490,18 @@
 }
 
 void peer_link::add_crash_knowledge(wire::Datagram& datagram, time_point now) {
-    const auto blocks = m_state.crashes.list_blocks(now);
+    const auto all_blocks = m_state.crashes.list_blocks(now);
+    const auto [blocks, block_parts] = split_by_size(all_blocks);
     m_first_block =
         fill_in_turn<trait_block>(blocks, m_first_block, datagram, *datagram.mutable_blocks(), fill_block, now);
-    const auto crashes = m_state.crashes.list_recent_crashes(now);
-    fill_in_turn<crash_observation>(crashes, 0, datagram, *datagram.mutable_crashes(), fill_crash, now);
+    const auto all_crashes = m_state.crashes.list_recent_crashes(now);
+    const auto [crashes, crash_parts] = split_by_size(all_crashes);
+    m_first_crash =
+        fill_in_turn<crash_observation>(crashes, m_first_crash, datagram, *datagram.mutable_crashes(), fill_crash, now);
+    m_first_block_part = fill_in_turn<part_of<trait_block>>(block_parts, m_first_block_part, datagram,
+                                                            *datagram.mutable_block_parts(), fill_block_part, now);
+    m_first_crash_part = fill_in_turn<part_of<crash_observation>>(
+        crash_parts, m_first_crash_part, datagram, *datagram.mutable_crash_parts(), fill_crash_part, now);
 }
 
 void peer_link::add_statements(wire::Datagram& datagram, time_point now) {
@@ -474,8 +562,18 @@
 }
 
 void peer_link::send_crash(const crash_observation& crash) {
-    fill_crash(*m_batch->add_crashes(), crash, m_state.timers.now());
-    schedule_flush();
+    const auto now = m_state.timers.now();
+    if (fits_in_message(crash)) {
+        fill_crash(*m_batch->add_crashes(), crash, now);
+        schedule_flush();
+        return;
+    }
+    std::vector<part_of<crash_observation>> parts;
+    add_parts(parts, crash);
+    for (const auto& part : parts) {
+        fill_crash_part(*m_batch->add_crash_parts(), part, now);
+        schedule_flush();
+    }
 }
 
 void peer_link::send_limit(const limit_statement& limit) {
@@ -494,10 +592,15 @@
 }
 
 void peer_link::send_sound_request(std::span<const request_trait> traits, time_point began) {
-    auto& message = *m_batch->add_sound_requests();
-    message.mutable_traits()->Add(traits.begin(), traits.end());
-    message.set_age_ms(milliseconds_of(m_state.timers.now() - began));
-    schedule_flush();
+    const auto age_ms = milliseconds_of(m_state.timers.now() - began);
+    // Each trait is sound for itself.
+    for (; !traits.empty(); traits = traits.subspan(std::min(max_traits_per_message, traits.size()))) {
+        const auto part = traits.first(std::min(max_traits_per_message, traits.size()));
+        auto& message = *m_batch->add_sound_requests();
+        message.mutable_traits()->Add(part.begin(), part.end());
+        message.set_age_ms(age_ms);
+        schedule_flush();
+    }
 }
 
 void peer_link::schedule_flush() {
--- a/src/serving/peer_link.hpp
+++ b/src/serving/peer_link.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "gateway_state.hpp"
+#include "trait_assembly.hpp"
 
 #include <boost/asio/ip/udp.hpp>
 
@@ -90,11 +91,16 @@
     std::unique_ptr<wire::Datagram> m_batch;
     std::string m_own_address;
     bool m_flush_scheduled = false;
+    // Sets of traits that arrive in parts.
+    trait_assembly m_trait_sets;
     // The boots of the daemons that were told of work in progress, by name.
     std::unordered_map<std::string, std::uint64_t> m_told_of_open_work;
     // Where the next heartbeat begins in the lists of blocks and of statements, if not
     // all have room.
     std::size_t m_first_block = 0;
+    std::size_t m_first_crash = 0;
+    std::size_t m_first_block_part = 0;
+    std::size_t m_first_crash_part = 0;
     std::size_t m_first_leaving = 0;
     std::size_t m_first_limit = 0;
 };
--- a/test/correctness/core_crash_attribution.cpp
+++ b/test/correctness/core_crash_attribution.cpp
@@ -7,6 +7,8 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <iostream>
+#include <numeric>
 #include <random>
 
 using namespace verbenahold;
@@ -60,7 +62,7 @@
         other.on_reported_block(block, at(6s));
     }
     CHECK(other.is_blocked(lost, at(6s)));
-    CHECK(other.on_sound_request(lost, at(7s), at(7s)));
+    CHECK_FALSE(other.on_sound_request(lost, at(7s), at(7s)).empty());
     CHECK_FALSE(other.is_blocked(lost, at(7s)));
     // The daemon that blocked it learns that too.
     for (const auto& block : other.list_blocks(at(8s))) {
@@ -196,3 +198,82 @@
     CHECK(daemon.list_recent_crashes(at(100s)).size() <= max_crashes);
     CHECK(daemon.list_blocks(at(100s)).empty());
 }
+
+// The parts of prompts that consist of very many.
+traits many_parts(std::uint64_t first, std::size_t count) {
+    traits parts(count);
+    std::iota(parts.begin(), parts.end(), first);
+    return parts;
+}
+
+TEST_CASE("a harmful part is recognized wherever it stands among thousands") {
+    // As many as the longest header has room for, and hashes at both ends of their range.
+    const request_trait harmful = GENERATE(request_trait{1}, request_trait{1'000'500}, ~request_trait{0});
+    CAPTURE(harmful);
+    auto common = many_parts(1'000'000, 5'000);
+    std::erase(common, harmful);
+    crash_attribution daemon;
+    for (std::uint64_t run = 1; run <= 3; ++run) {
+        auto lost = common;
+        lost.push_back(harmful);
+        lost.push_back(own(static_cast<int>(run)));
+        daemon.on_crash({run, at(run * 1s), lost}, at(run * 1s));
+        auto sound = common;
+        sound.push_back(own(static_cast<int>(run) + 50));
+        daemon.on_sound_request(sound, at(run * 1s + 500ms), at(run * 1s + 500ms));
+        CHECK_FALSE(daemon.is_blocked(sound, at(run * 1s + 600ms)));
+    }
+    auto harmful_request = common;
+    harmful_request.push_back(harmful);
+    harmful_request.push_back(own(9));
+    CHECK(daemon.is_blocked(harmful_request, at(4s)));
+    CHECK(daemon.is_blocked(traits{own(10), harmful}, at(4s)));
+}
+
+TEST_CASE("no suspect of a crash is left out when many requests with many parts are lost together") {
+    // The culprit has the highest hash, and is lost among the last.
+    constexpr request_trait harmful = ~request_trait{0};
+    constexpr std::uint64_t requests = 16;
+    constexpr std::size_t parts = 1'200;
+    crash_attribution daemon;
+    std::uint64_t next_part = 1'000'000;
+    for (std::uint64_t run = 1; run <= 3; ++run) {
+        for (std::uint64_t request = 0; request < requests; ++request) {
+            auto lost = many_parts(next_part, parts);
+            next_part += parts;
+            if (request + 1 == requests) {
+                lost.push_back(harmful);
+            }
+            daemon.on_crash({run, at(run * 1s), lost}, at(run * 1s));
+        }
+    }
+    CHECK(daemon.is_blocked(traits{own(1), harmful}, at(4s)));
+    CHECK_FALSE(daemon.is_blocked(many_parts(1'000'000, parts), at(4s)));
+    // Others are told of all of them.
+    crash_attribution other;
+    for (const auto& crash : daemon.list_recent_crashes(at(4s))) {
+        CHECK(crash.traits.size() == requests * parts + 1);
+        other.on_crash(crash, at(4s));
+    }
+    CHECK(other.is_blocked(traits{own(1), harmful}, at(4s)));
+}
+
+TEST_CASE("the memory for suspects is bounded by forgetting whole crashes, the oldest first") {
+    crash_attribution daemon;
+    constexpr std::size_t parts = 20'000;
+    std::uint64_t next_part = 1'000'000;
+    std::size_t most = 0;
+    for (std::uint64_t run = 1; run <= 40; ++run) {
+        auto lost = many_parts(next_part, parts);
+        next_part += parts;
+        lost.push_back(deadly);
+        daemon.on_crash({run, at(run * 1s), lost}, at(run * 1s));
+        most = std::max(most, daemon.count_suspects());
+    }
+    std::cout << "suspects at most " << most << " of " << 40 * parts << '\n';
+    CHECK(most <= max_suspects);
+    CHECK(daemon.is_blocked(traits{deadly}, at(41s)));
+    const auto kept = daemon.list_recent_crashes(at(41s));
+    CHECK(kept.size() >= 5);
+    CHECK(std::all_of(kept.begin(), kept.end(), [&](const auto& crash) { return crash.traits.size() == parts + 1; }));
+}
--- a/test/error/serving_crashing_requests.cpp
+++ b/test/error/serving_crashing_requests.cpp
@@ -61,8 +61,12 @@
     // Sends a request of its own whose prompt has the given part among its shared ones.
     scripted_caller& ask(const std::string& host, const std::string& part) {
         const auto id = std::to_string(++m_asked);
+        std::string parts = "c0de:40,";
+        for (int number = 0; number < parts_before; ++number) {
+            parts += "b" + std::to_string(number) + ":10,";
+        }
         return call(host, request_text("POST", "/resumable/x", "a-" + id, "prompt " + id,
-                                       "Verbenahold-Prompt-Prefix: c0de:40," + part + ":900,f" + id + ":100\r\n"));
+                                       "Verbenahold-Prompt-Prefix: " + parts + part + ":900,f" + id + ":100\r\n"));
     }
     bool is_served(const std::string& host, const std::string& part) {
         auto& caller = ask(host, part);
@@ -82,6 +86,8 @@
 
     [[nodiscard]] bool all_ready() const { return m_all_ready; }
 
+    // Parts that all prompts have before the one that differs.
+    int parts_before = 0;
     int harmful_requests = 0;
     // Servers end whatever they are asked.
     bool loses_all = false;
@@ -182,3 +188,49 @@
         CHECK(rig.is_served(host, "50f7"));
     }
 }
+
+TEST_CASE("a crashing part behind hundreds of others is kept from servers by all daemons, also by one that starts") {
+    crashing_rig rig(three_hosts);
+    rig.parts_before = GENERATE(150, 1'000);
+    CAPTURE(rig.parts_before);
+    REQUIRE(rig.all_ready());
+    rig.crash_servers(5);
+    rig.run_for(2 * heartbeat_period);
+    const int before = rig.harmful_requests;
+    for (int turn = 0; turn < 12; ++turn) {
+        CHECK_FALSE(rig.is_served(three_hosts[static_cast<std::size_t>(turn) % three_hosts.size()], deadly_part));
+    }
+    CHECK(rig.harmful_requests - before <= max_harmful_requests);
+    for (const auto& host : three_hosts) {
+        CHECK(rig.is_served(host, "50f7"));
+    }
+    rig.start_daemon("host-9");
+    REQUIRE(rig.run_until_ready("host-9"));
+    rig.run_for(2 * heartbeat_period);
+    const int before_start = rig.harmful_requests;
+    CHECK_FALSE(rig.is_served("host-9", deadly_part));
+    CHECK(rig.harmful_requests == before_start);
+    CHECK(rig.is_served("host-9", "50f7"));
+}
+
+TEST_CASE("a daemon that starts learns of a block of more traits than a datagram has room for") {
+    // No sound request tells the parts apart, so that all of them are blocked together.
+    crashing_rig rig(three_hosts);
+    rig.parts_before = 1'000;
+    REQUIRE(rig.all_ready());
+    for (int turn = 0; turn < 4; ++turn) {
+        rig.is_served(three_hosts[static_cast<std::size_t>(turn) % three_hosts.size()], deadly_part);
+        rig.run_for(150ms);
+    }
+    const int before = rig.harmful_requests;
+    REQUIRE(before >= crashes_to_block);
+    CHECK_FALSE(rig.is_served("host-1", deadly_part));
+    CHECK(rig.harmful_requests == before);
+    rig.start_daemon("host-9");
+    REQUIRE(rig.run_until_ready("host-9"));
+    // Its parts come with several heartbeats.
+    rig.run_for(12 * heartbeat_period);
+    CHECK_FALSE(rig.is_served("host-9", deadly_part));
+    CHECK(rig.harmful_requests == before);
+    CHECK(rig.is_served("host-9", "50f7"));
+}
--- a/test/error/serving_peer_words.cpp
+++ b/test/error/serving_peer_words.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iostream>
 #include <iterator>
 #include <limits>
 
@@ -69,6 +70,10 @@
     }
 
     std::vector<wire::WorkUpdate> starts;
+    // Of the datagrams that were heard.
+    std::size_t largest = 0;
+    std::size_t datagrams = 0;
+    std::size_t crash_parts = 0;
     // Work that was in progress when the daemon first heard of this one.
     std::vector<wire::WorkUpdate> open;
 
@@ -97,6 +102,9 @@
             }
             wire::Datagram datagram;
             REQUIRE(datagram.ParseFromArray(bytes.data(), static_cast<int>(size)));
+            largest = std::max(largest, size);
+            ++datagrams;
+            crash_parts += static_cast<std::size_t>(datagram.crash_parts_size());
             std::copy_if(datagram.work().begin(), datagram.work().end(), std::back_inserter(starts),
                          [](const wire::WorkUpdate& update) { return update.event() == 0; });
             std::copy_if(datagram.work().begin(), datagram.work().end(), std::back_inserter(open),
@@ -216,3 +224,32 @@
     CHECK(listener.open.front().event() == 3);
     CHECK(listener.open.front().items_size() > 1);
 }
+
+TEST_CASE("a lost request with a thousand parts is told of in datagrams that networks carry whole") {
+    serving_rig rig;
+    for (const auto* id : {"i-1", "i-2", "i-3"}) {
+        rig.add_server(id, [](const http_request&, const std::shared_ptr<scripted_server::session>& session) {
+            session->reset();
+        });
+    }
+    rig.put_desired_state();
+    rig.start_daemon("host-1");
+    REQUIRE(rig.run_until_ready("host-1"));
+    work_listener listener(rig, "host-1");
+    listener.listen(400ms);
+    const auto before = listener.datagrams;
+    std::string parts;
+    for (int number = 0; number < 1'000; ++number) {
+        parts += "b" + std::to_string(number) + ":10,";
+    }
+    rig.call("host-1",
+             request_text("POST", "/stream/x", "a-1", "prompt", "Verbenahold-Prompt-Prefix: " + parts + "f1:10\r\n"));
+    listener.listen(400ms);
+    std::cout << "largest datagram " << listener.largest << " bytes, " << listener.datagrams - before
+              << " datagrams in 0.4 s, crash parts " << listener.crash_parts << '\n';
+    CHECK(listener.crash_parts >= 1'001 / max_traits_per_message);
+    // The payload that an Ethernet frame carries.
+    CHECK(listener.largest <= 1'472);
+    // One for each part at most, and the heartbeats.
+    CHECK(listener.datagrams - before <= 1'001 / max_traits_per_message + 8);
+}
