Keep in the store which requests crash servers, so that it outlives all daemons

Cause: what was learned lived only in the daemons that learned it, though it holds for ten minutes and all of them may go at once.

Fix: block_archive keeps each block in a row of the platform's store. The daemon responsible for it by rendezvous hashing writes it, one call at a time, with pauses of 0.5 to 8 s after failures; daemons read the rows once, when they become active. Nothing waits for these calls. When the store has come back from an older copy, rows are written again.

A restored block refuses nothing at first: one crash confirms it, and one sound request lifts it, so that a wrong block doesn't refuse sound requests for longer than before. One that was confirmed so refuses at once after the next restart.

Why it works: the store is what outlives all daemons, and the first crash after their restart is the last: the guard is asked before each attempt, and daemons tell each other within 1 ms.

Three daemons write a block once.

--- a/src/routing/crash_attribution.cpp
+++ b/src/routing/crash_attribution.cpp
@@ -95,8 +95,11 @@
     const auto cleared = m_suspects.clear(all, began);
     trait_set news = cleared;
     for (auto& [blocked, state] : m_blocks) {
-        if (state.is_active(now) && state.expires - block_time < began && contains(all, blocked)) {
+        const bool is_in_question =
+            state.on_probation ? !state.cleared : state.is_active(now) && state.expires - block_time < began;
+        if (is_in_question && contains(all, blocked)) {
             state.cleared = true;
+            state.on_probation = false;
             news.insert(news.end(), blocked.begin(), blocked.end());
         }
     }
@@ -169,7 +172,7 @@
 
 void crash_attribution::block(const trait_set& traits, time_point now) {
     auto& state = m_blocks[traits];
-    state = {state.round + 1, false, now + block_time};
+    state = {state.round + 1, false, now + block_time, false};
     m_new_blocks.push_back({traits, state.round, false, state.expires});
 }
 
@@ -196,18 +199,53 @@
     const auto own_word = std::pair(state.round, state.cleared);
     const auto their_word = std::pair(reported.round, reported.cleared);
     if (own_word < their_word) {
-        state = {reported.round, reported.cleared, expires};
+        state = {reported.round, reported.cleared, expires, false};
         if (reported.cleared) {
             on_sound_request(traits, expires - block_time, now);
         } else {
             m_new_blocks.push_back({traits, state.round, false, expires});
         }
+    } else if (own_word == their_word && state.on_probation) {
+        // Another daemon has known the block all the time.
+        state = {reported.round, reported.cleared, expires, false};
+        m_new_blocks.push_back({traits, state.round, false, expires});
     } else if (own_word == their_word) {
         // Transit makes a reported time later than it is.
         state.expires = std::min(state.expires, expires);
     }
 }
 
+void crash_attribution::restore_block(const trait_block& left, time_point now) {
+    const auto traits = sorted(left.traits);
+    if (traits.empty() || left.round == 0) {
+        return;
+    }
+    drop_expired(now);
+    const auto expires = std::min(left.expires, now + block_time);
+    if (now - expires > relapse_time) {
+        return;
+    }
+    auto& state = m_blocks[traits];
+    if (std::pair(state.round, state.cleared) >= std::pair(left.round, left.cleared)) {
+        return;
+    }
+    const bool holds = left.cleared || left.round >= first_confirmed_round;
+    state = {left.round, left.cleared, holds ? expires : std::min(expires, now), !holds};
+    if (state.is_active(now)) {
+        m_new_blocks.push_back({traits, state.round, false, expires});
+    }
+}
+
+std::vector<trait_block> crash_attribution::list_blocks_to_keep(time_point now) const {
+    std::vector<trait_block> blocks;
+    for (const auto& [traits, state] : m_blocks) {
+        if (!is_implied_by_wider(traits, state, now)) {
+            blocks.push_back({traits, state.round, state.cleared, state.expires});
+        }
+    }
+    return blocks;
+}
+
 bool crash_attribution::is_blocked(std::span<const request_trait> traits, time_point now) const {
     if (m_blocks.empty()) {
         return false;
--- a/src/routing/crash_attribution.hpp
+++ b/src/routing/crash_attribution.hpp
@@ -37,6 +37,8 @@
 inline constexpr duration block_time = std::chrono::minutes(10);
 // For this long after a block has expired, one crash is enough to block again.
 inline constexpr duration relapse_time = std::chrono::hours(1);
+// From this round on a block has been confirmed by a crash after it had ended.
+inline constexpr std::uint32_t first_confirmed_round = 2;
 // Bounds on what is kept.
 inline constexpr std::size_t max_blocks = 256;
 inline constexpr std::size_t max_sound_traits = 50'000;
@@ -75,6 +77,10 @@
     trait_set on_sound_request(std::span<const request_trait> traits, time_point began, time_point now);
     // Takes in a block that another daemon reported.
     void on_reported_block(const trait_block& reported, time_point now);
+    // Takes in a block that daemons before this one left behind. Until it has been confirmed it
+    // refuses nothing: one crash confirms it, and one sound request lifts it. A block that was
+    // confirmed before refuses requests at once.
+    void restore_block(const trait_block& left, time_point now);
 
     [[nodiscard]] bool is_blocked(std::span<const request_trait> traits, time_point now) const;
     // Combinations that were blocked since the last call, for the log.
@@ -88,6 +94,8 @@
     // implies, and recent crashes, newest first, with the traits that may have caused them.
     [[nodiscard]] std::vector<trait_block> list_blocks(time_point now) const;
     [[nodiscard]] std::vector<crash_observation> list_recent_crashes(time_point now) const;
+    // What daemons after this one should know: also blocks that have expired lately.
+    [[nodiscard]] std::vector<trait_block> list_blocks_to_keep(time_point now) const;
 
 private:
     using sound_times = std::unordered_map<request_trait, time_point>;
@@ -96,6 +104,8 @@
         std::uint32_t round = 0;
         bool cleared = false;
         time_point expires{};
+        // Restored and neither confirmed nor lifted since.
+        bool on_probation = false;
 
         [[nodiscard]] bool is_active(time_point now) const { return !cleared && expires > now; }
     };
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -163,7 +163,8 @@
       m_operator_rows(store_table::operator_rows, settings.store_address, protocol, m_state.calls, m_state.timers,
                       [this](const auto& rows, const auto& changed) { on_operator_rows(rows, changed); }),
       m_server_rows(store_table::server_rows, settings.store_address, protocol, m_state.calls, m_state.timers,
-                    [this](const auto&, const auto& changed) { on_server_rows(changed); }) {
+                    [this](const auto&, const auto& changed) { on_server_rows(changed); }),
+      m_block_archive(m_state, std::chrono::microseconds(started_unix_us)) {
     for (auto* table : {&m_operator_rows, &m_server_rows}) {
         table->set_on_new_era([this](std::uint64_t era) { on_new_era(era); });
     }
@@ -327,6 +328,7 @@
         }
     });
     m_presence.on_store_era(era);
+    m_block_archive.on_store_era(era);
 }
 
 bool gateway::has_restored_rows() const {
@@ -397,6 +399,9 @@
 
 void gateway::on_part_decided() {
     const bool active = m_state.role.is_active();
+    if (active) {
+        m_block_archive.start();
+    }
     for (auto* table : {&m_operator_rows, &m_server_rows}) {
         table->set_poll_period(active ? non_reader_poll_period : standby_poll_period);
         if (!m_tables_started || (active && !table->is_loaded())) {
--- a/src/serving/gateway.hpp
+++ b/src/serving/gateway.hpp
@@ -2,6 +2,7 @@
 // follows the desired state and the list of servers, and shuts down gracefully.
 #pragma once
 
+#include "block_archive.hpp"
 #include "gateway_state.hpp"
 #include "peer_link.hpp"
 #include "presence.hpp"
@@ -76,6 +77,7 @@
     report_poller m_reports;
     table_follower m_operator_rows;
     table_follower m_server_rows;
+    block_archive m_block_archive;
     std::unique_ptr<service_listener> m_ready;
     std::unique_ptr<service_listener> m_directory;
     std::unique_ptr<service_listener> m_metrics;
--- a/src/serving/table_follower.cpp
+++ b/src/serving/table_follower.cpp
@@ -14,6 +14,8 @@
             return "servers";
         case store_table::daemon_rows:
             return "daemons";
+        case store_table::block_rows:
+            return "blocks";
     }
     return "unknown";
 }
--- a/src/serving/wire_protocol.hpp
+++ b/src/serving/wire_protocol.hpp
@@ -88,7 +88,7 @@
     zone_name zone;
 };
 
-enum class store_table { operator_rows, server_rows, daemon_rows };
+enum class store_table { operator_rows, server_rows, daemon_rows, block_rows };
 
 struct store_row {
     std::string key;
--- a/test/correctness/core_crash_attribution.cpp
+++ b/test/correctness/core_crash_attribution.cpp
@@ -277,3 +277,47 @@
     CHECK(kept.size() >= 5);
     CHECK(std::all_of(kept.begin(), kept.end(), [&](const auto& crash) { return crash.traits.size() == parts + 1; }));
 }
+
+TEST_CASE("a restored block refuses nothing until a crash confirms it, and a sound request lifts it") {
+    crash_attribution earlier;
+    crash_servers(earlier, 3, {});
+    const auto left = earlier.list_blocks_to_keep(at(4s));
+    REQUIRE(left.size() == 1);
+    crash_attribution daemon;
+    daemon.restore_block(left.front(), at(5s));
+    CHECK_FALSE(daemon.is_blocked(traits{own(1), deadly}, at(5s)));
+    SECTION("a crash confirms it") {
+        daemon.on_crash({900, at(6s), traits{own(1), deadly, shared}}, at(6s));
+        CHECK(daemon.is_blocked(traits{own(2), deadly}, at(6s)));
+        // The next daemons refuse such requests at once, for as long as it lasts.
+        crash_attribution next;
+        for (const auto& block : daemon.list_blocks_to_keep(at(7s))) {
+            next.restore_block(block, at(8s));
+        }
+        CHECK(next.is_blocked(traits{own(3), deadly}, at(8s)));
+        CHECK_FALSE(next.is_blocked(traits{own(3), shared}, at(8s)));
+        CHECK_FALSE(next.is_blocked(traits{own(3), deadly}, at(7s) + block_time));
+    }
+    SECTION("a sound request lifts it, also for daemons after this one") {
+        CHECK_FALSE(daemon.on_sound_request(traits{own(1), deadly, shared}, at(6s), at(6s)).empty());
+        daemon.on_crash({900, at(7s), traits{own(1), deadly}}, at(7s));
+        CHECK_FALSE(daemon.is_blocked(traits{own(2), deadly}, at(7s)));
+        crash_attribution next;
+        for (const auto& block : daemon.list_blocks_to_keep(at(7s))) {
+            CHECK(block.cleared);
+            next.restore_block(block, at(8s));
+        }
+        next.on_crash({901, at(9s), traits{own(1), deadly}}, at(9s));
+        CHECK_FALSE(next.is_blocked(traits{own(2), deadly}, at(9s)));
+    }
+    SECTION("word of a daemon that has known it all the time holds") {
+        daemon.on_reported_block(left.front(), at(6s));
+        CHECK(daemon.is_blocked(traits{own(2), deadly}, at(6s)));
+    }
+    SECTION("an older word doesn't undo what the daemon knows") {
+        daemon.on_reported_block({left.front().traits, 3, true, at(4s) + block_time}, at(6s));
+        daemon.restore_block(left.front(), at(7s));
+        daemon.on_crash({900, at(8s), traits{own(1), deadly}}, at(8s));
+        CHECK_FALSE(daemon.is_blocked(traits{own(2), deadly}, at(8s)));
+    }
+}
--- a/test/error/serving_crashing_requests.cpp
+++ b/test/error/serving_crashing_requests.cpp
@@ -18,6 +18,8 @@
 constexpr const char* deadly_part = "dead01";
 // The platform's bound on harmful requests that reach servers once they should be known.
 constexpr int max_harmful_requests = 3;
+// A daemon's word of a crash has reached the others.
+constexpr duration telling_time = 20ms;
 
 bool has_answer(const scripted_caller& caller) {
     return caller.received().find("\r\n\r\n") != std::string::npos;
@@ -73,6 +75,21 @@
         run_until([&] { return has_answer(caller); });
         return caller.received().starts_with("HTTP/1.1 200");
     }
+    // Ends all daemons at once and starts them again.
+    bool restart_all() {
+        for (const auto& host : m_hosts) {
+            kill_daemon(host);
+        }
+        bool all = true;
+        for (const auto& host : m_hosts) {
+            start_daemon(host);
+        }
+        for (const auto& host : m_hosts) {
+            all = run_until_ready(host) && all;
+        }
+        run_for(settling_time);
+        return all;
+    }
     // Sends harmful and sound requests by turns to the hosts until `crashes` servers
     // have ended, or harmful ones don't reach servers any more.
     void crash_servers(int crashes) { crash_servers(crashes, m_hosts); }
@@ -234,3 +251,96 @@
     CHECK(rig.harmful_requests == before);
     CHECK(rig.is_served("host-9", "50f7"));
 }
+
+TEST_CASE("which requests crash servers outlives all daemons, and their restart refuses no sound request") {
+    crashing_rig rig(three_hosts);
+    REQUIRE(rig.all_ready());
+    rig.crash_servers(5);
+    REQUIRE(rig.run_until([&] { return rig.store.transactions("blocks") > 0; }));
+    rig.run_for(1s);
+    // The three daemons write a block once.
+    CHECK(rig.store.transactions("blocks") <= 2);
+    const int before = rig.harmful_requests;
+    REQUIRE(rig.restart_all());
+    for (int turn = 0; turn < 9; ++turn) {
+        const auto& host = three_hosts[static_cast<std::size_t>(turn) % three_hosts.size()];
+        CHECK_FALSE(rig.is_served(host, deadly_part));
+        rig.run_for(telling_time);
+        CHECK(rig.is_served(host, "50f7"));
+    }
+    // One crash confirms the block.
+    CHECK(rig.harmful_requests - before <= 1);
+    rig.run_for(1s);
+    const int confirmed = rig.harmful_requests;
+    REQUIRE(rig.restart_all());
+    for (const auto& host : three_hosts) {
+        CHECK_FALSE(rig.is_served(host, deadly_part));
+        CHECK(rig.is_served(host, "50f7"));
+    }
+    CHECK(rig.harmful_requests == confirmed);
+}
+
+TEST_CASE("a block that was learned while the store was down is kept once it is back, with few calls") {
+    crashing_rig rig(three_hosts);
+    REQUIRE(rig.all_ready());
+    rig.store.set_serving(false);
+    rig.run_for(500ms);
+    rig.crash_servers(5);
+    CHECK_FALSE(rig.is_served("host-1", deadly_part));
+    CHECK(rig.is_served("host-1", "50f7"));
+    rig.run_for(2s);
+    // Pauses of 0.5 s and 1 s at the daemon that is responsible.
+    CHECK(rig.store.transactions("blocks") <= 4);
+    rig.store.set_serving(true);
+    const int failed = rig.store.transactions("blocks");
+    CHECK(rig.run_until([&] { return rig.store.transactions("blocks") > failed; }));
+    rig.run_for(200ms);
+    const int before = rig.harmful_requests;
+    REQUIRE(rig.restart_all());
+    for (const auto& host : three_hosts) {
+        CHECK_FALSE(rig.is_served(host, deadly_part));
+        rig.run_for(telling_time);
+        CHECK(rig.is_served(host, "50f7"));
+    }
+    CHECK(rig.harmful_requests - before <= 1);
+}
+
+TEST_CASE("blocks are written again when the store came back from a copy without them") {
+    crashing_rig rig(three_hosts);
+    REQUIRE(rig.all_ready());
+    rig.store.take_copy();
+    rig.crash_servers(5);
+    REQUIRE(rig.run_until([&] { return rig.store.transactions("blocks") > 0; }));
+    rig.run_for(600ms);
+    rig.store.restore_copy();
+    const int lost = rig.store.transactions("blocks");
+    CHECK(rig.run_until([&] { return rig.store.transactions("blocks") > lost; }));
+    rig.run_for(200ms);
+    const int before = rig.harmful_requests;
+    REQUIRE(rig.restart_all());
+    CHECK_FALSE(rig.is_served("host-1", deadly_part));
+    rig.run_for(telling_time);
+    CHECK_FALSE(rig.is_served("host-2", deadly_part));
+    CHECK(rig.harmful_requests - before <= 1);
+}
+
+TEST_CASE("daemons serve while the store doesn't answer about blocks, and after rows that can't be read") {
+    crashing_rig rig(three_hosts);
+    REQUIRE(rig.all_ready());
+    rig.store.put("blocks", "0123456789abcdef", "not a block");
+    SECTION("no answer") {
+        rig.store.silence_table("blocks");
+    }
+    SECTION("rows that can't be read are removed") {}
+    REQUIRE(rig.restart_all());
+    for (const auto& host : three_hosts) {
+        CHECK(rig.is_served(host, "50f7"));
+    }
+    rig.crash_servers(5);
+    const int before = rig.harmful_requests;
+    for (const auto& host : three_hosts) {
+        CHECK_FALSE(rig.is_served(host, deadly_part));
+        CHECK(rig.is_served(host, "50f8"));
+    }
+    CHECK(rig.harmful_requests - before <= max_harmful_requests);
+}
--- a/test/rig/serving_rig.cpp
+++ b/test/rig/serving_rig.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <stdexcept>
 
@@ -167,6 +168,13 @@
     return rows->second.at(key).value;
 }
 
+int scripted_store::transactions(const std::string& table) const {
+    const auto& calls = m_server.requests();
+    return static_cast<int>(std::count_if(calls.begin(), calls.end(), [&](const http_request& request) {
+        return request.target.starts_with("/api/rows-tx") && request.body.find('"' + table + '"') != std::string::npos;
+    }));
+}
+
 void scripted_store::restore_copy() {
     m_state = m_copy;
     ++m_era;
@@ -204,6 +212,9 @@
         return;
     }
     const auto table = query_value(request.target, "table");
+    if (!m_silent_table.empty() && table == m_silent_table) {
+        return;
+    }
     if (request.target.starts_with("/api/rows-get")) {
         session->write(reply(200, page(table, 0, false)));
     } else if (request.target.starts_with("/api/rows-feed")) {
--- a/test/rig/serving_rig.hpp
+++ b/test/rig/serving_rig.hpp
@@ -74,6 +74,10 @@
     [[nodiscard]] std::string value_of(const std::string& table, const std::string& key) const;
     // Counts rows that were written without a change of their own table, as other writers do.
     void skip_versions(std::uint64_t count) { m_state.version += count; }
+    // Calls about this table get no answer from now on.
+    void silence_table(const std::string& table) { m_silent_table = table; }
+    // Transactions so far that name this table.
+    [[nodiscard]] int transactions(const std::string& table) const;
     // While false, all calls are answered with status 503.
     void set_serving(bool serving) { m_serving = serving; }
     // Keeps a copy of all rows.
@@ -110,6 +114,7 @@
     state m_copy;
     std::uint64_t m_era = 1;
     std::vector<waiting_call> m_waiting;
+    std::string m_silent_table;
     bool m_serving = true;
 };
 
@@ -161,6 +166,8 @@
     // From now on the daemon is silent and its connections hang, as after a loss of
     // power.
     void silence_daemon(const std::string& name) { m_daemons.at(name).is_silent = true; }
+    // Ends the daemon without a planned stop.
+    void kill_daemon(const std::string& name) { m_daemons.at(name).running.reset(); }
     // Starts a daemon of this name; `store_address` replaces the rig's store. A running one is
     // killed before and starts again at other addresses.
     void start_daemon(const std::string& name, const std::string& store_address = {});
