Take an answer of the store that states no era for one of the known era

Callers would see a daemon that follows no change any more, if the store, or what stands before it, left out the header of an answer: era 0 counted as an earlier one, and the answer as a failed call.

Cause: an unknown era was compared like a known one.

Test: serving_store_eras, answers that state no era belong to the known one.

--- a/src/serving/table_follower.cpp
+++ b/src/serving/table_follower.cpp
@@ -84,7 +84,7 @@
         on_failure(result.failure);
         return;
     }
-    const auto page = m_wire.read_page(*result.answer);
+    auto page = m_wire.read_page(*result.answer);
     if (const auto* fault = std::get_if<store_fault>(&page)) {
         if (*fault == store_fault::history_gone) {
             reload();
@@ -98,7 +98,10 @@
         log_line("store regained").add("table", table_label(m_table)).info();
     }
     m_retry_delay = min_store_retry_delay;
-    done(std::get<store_page>(page));
+    auto& read = std::get<store_page>(page);
+    // An answer that states no era says nothing against the known one.
+    read.position.era = read.position.era == 0 ? m_position.era : read.position.era;
+    done(read);
 }
 
 void table_follower::on_failure(std::string_view reason) {
--- a/test/error/serving_store_eras.cpp
+++ b/test/error/serving_store_eras.cpp
@@ -119,6 +119,16 @@
     CHECK(rig.store.calls() - before <= 4);
 }
 
+TEST_CASE("answers that state no era belong to the known one") {
+    follower_rig rig;
+    rig.table.start(0ms);
+    REQUIRE(rig.run_until([&] { return rig.seen.contains("a"); }));
+    rig.store.set_states_era(false);
+    rig.store.put("servers", "a", "second");
+    CHECK(rig.run_until([&] { return rig.seen["a"] == "second"; }));
+    CHECK_FALSE(rig.table.last_trouble());
+}
+
 TEST_CASE("rows of an earlier era are not taken from another daemon, however high their versions") {
     // Host 1 is cut off from the store when that comes back, and host 2 starts after that.
     serving_rig rig;
--- a/test/rig/serving_rig.cpp
+++ b/test/rig/serving_rig.cpp
@@ -147,7 +147,7 @@
 }
 
 std::string scripted_store::reply(int status, const std::string& body) const {
-    return json_answer(status, body, "Store-Era: " + std::to_string(m_era) + "\r\n");
+    return json_answer(status, body, m_states_era ? "Store-Era: " + std::to_string(m_era) + "\r\n" : "");
 }
 
 void scripted_store::put(const std::string& table, const std::string& key, const std::string& value) {
--- a/test/rig/serving_rig.hpp
+++ b/test/rig/serving_rig.hpp
@@ -82,6 +82,8 @@
     void set_serving(bool serving) { m_serving = serving; }
     // Keeps a copy of all rows.
     void take_copy() { m_copy = m_state; }
+    // Whether answers state the store's era.
+    void set_states_era(bool states) { m_states_era = states; }
     // The store comes back from the copy, under the next era. Waiting calls are answered 410.
     void restore_copy();
     // Calls so far.
@@ -115,6 +117,7 @@
     std::uint64_t m_era = 1;
     std::vector<waiting_call> m_waiting;
     std::string m_silent_table;
+    bool m_states_era = true;
     bool m_serving = true;
 };
 
