--- a/test/soak/fault_series.cpp
+++ b/test/soak/fault_series.cpp
@@ -286,6 +286,19 @@
     co_await store_fault(all, "store refuses some", &all.store.refused_channels, 0, 0.4);
 }
 
+awaitable<void> store_returns(fleet& all) {
+    all.store.take_copy();
+    co_await pause_ms(between(all, 1'000, 4'000));
+    const auto span = open_span(all.notes.store_impairments, "store returns from a copy");
+    all.notes.note("store away");
+    all.store.refused = 1;
+    co_await pause_ms(between(all, 300, 1'000));
+    all.store.return_from_copy();
+    all.store.refused = 0;
+    all.notes.note("store back from its copy");
+    close_span(all.notes.store_impairments, span);
+}
+
 awaitable<void> store_forgets(fleet& all) {
     const auto span = open_span(all.notes.store_impairments, "store forgets its history");
     all.notes.note("store forgets its history");
@@ -383,6 +396,7 @@
         {"store-slow", "the store is slow", store_slow, 3'000},
         {"store-lost", "answers of the store are lost", store_answers_lost, 3'000},
         {"store-some", "the store refuses some callers", store_refuses_some, 3'000},
+        {"store-return", "the store is away and comes back from a copy some seconds old", store_returns, 2'500},
         {"store-forget", "the store forgets its history", store_forgets, 4'000},
         {"burst", "three times the load", burst, 3'000},
         {"overload", "more load than the servers can take", overload, 3'000},
--- a/test/soak/store_standin.cpp
+++ b/test/soak/store_standin.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <stdexcept>
+#include <utility>
 #include <vector>
 
 namespace verbenahold::soak {
@@ -63,6 +64,39 @@
     }
 }
 
+void store_standin::take_copy() {
+    m_copy = m_tables;
+    m_copy_version = m_version;
+}
+
+void store_standin::return_from_copy() {
+    const auto before = std::exchange(m_tables, m_copy);
+    m_version = m_copy_version;
+    m_oldest = 0;
+    ++m_era;
+    for (const std::string table : {"op", "servers"}) {
+        const auto rows = before.find(table);
+        if (rows == before.end()) {
+            continue;
+        }
+        for (const auto& [key, written] : rows->second) {
+            const auto copied = m_tables[table].find(key);
+            const bool is_known = copied != m_tables[table].end() && copied->second.value == written.value &&
+                                  copied->second.removed == written.removed;
+            if (!is_known) {
+                m_tables[table][key] = {written.value, ++m_version, written.removed};
+            }
+        }
+    }
+    for (auto* poll : m_polls) {
+        poll->notify();
+    }
+}
+
+std::string store_standin::reply(int status, const std::string& body) const {
+    return answer_text(status, {{"Content-Type", "application/json"}, {"Store-Era", std::to_string(m_era)}}, body);
+}
+
 awaitable<void> store_standin::accept() {
     for (;;) {
         error_code error;
@@ -105,7 +139,7 @@
         co_await pause_ms(answer_ms);
         std::string text;
         if (roll(refused) || (open->is_refused && refused_channels > 0)) {
-            text = answer_text(503, {{"Content-Type", "application/json"}}, "{}");
+            text = reply(503, "{}");
         } else {
             text = co_await answer(request);
         }
@@ -164,11 +198,10 @@
 }
 
 awaitable<std::string> store_standin::answer(const serving::http_request& request) {
-    const serving::header_fields json{{"Content-Type", "application/json"}};
     const auto table = query_value(request.target, "table");
     bool has_rows = false;
     if (request.target.starts_with("/api/rows-get")) {
-        co_return answer_text(200, json, page(table, 0, false, has_rows));
+        co_return reply(200, page(table, 0, false, has_rows));
     }
     if (request.target.starts_with("/api/rows-feed")) {
         const auto after = std::stoull(query_value(request.target, "after"));
@@ -176,23 +209,24 @@
         wakeup changed(m_loop);
         m_polls.insert(&changed);
         auto body = page(table, after, true, has_rows);
-        while (!has_rows && after >= m_oldest && now_ms() < until && refused < 1) {
+        const auto era = m_era;
+        const auto is_gone = [&] { return after < m_oldest || after > m_version || era != m_era; };
+        while (!has_rows && !is_gone() && now_ms() < until && refused < 1) {
             co_await changed.wait_until(until);
             body = page(table, after, true, has_rows);
         }
         m_polls.erase(&changed);
-        if (after < m_oldest) {
-            co_return answer_text(410, json, "{}");
+        if (is_gone()) {
+            co_return reply(410, "{}");
         }
-        co_return answer_text(200, json, body);
+        co_return reply(200, body);
     }
     if (request.target.starts_with("/api/rows-tx")) {
         apply(request.body);
-        co_return answer_text(200, json,
-                              R"({"ver":)" + std::to_string(m_version) + R"(,"server-time-ms":)" +
-                                  std::to_string(static_cast<long>(now_ms())) + "}");
+        co_return reply(200, R"({"ver":)" + std::to_string(m_version) + R"(,"server-time-ms":)" +
+                                 std::to_string(static_cast<long>(now_ms())) + "}");
     }
-    co_return answer_text(404, json, "{}");
+    co_return reply(404, "{}");
 }
 
 }  // namespace verbenahold::soak
--- a/test/soak/store_standin.hpp
+++ b/test/soak/store_standin.hpp
@@ -24,6 +24,10 @@
     [[nodiscard]] const std::string& address() const { return m_address; }
     void put(const std::string& table, const std::string& key, const std::string& value);
     void remove(const std::string& table, const std::string& key);
+    // Keeps a copy of all rows, and comes back from it under the next era. What the operator
+    // and servers wrote since is written again at once; what daemons wrote is gone.
+    void take_copy();
+    void return_from_copy();
     // Forgets all changes so far: polls that ask for them get 410.
     void forget_history();
 
@@ -53,15 +57,20 @@
     [[nodiscard]] std::string page(const std::string& table, std::uint64_t after, bool changes_only,
                                    bool& has_rows) const;
     void apply(const std::string& body);
+    [[nodiscard]] std::string reply(int status, const std::string& body) const;
     bool roll(double share);
 
     io_context& m_loop;
     std::mt19937_64 m_random;
     std::string m_address;
     tcp::acceptor m_acceptor;
-    std::map<std::string, std::map<std::string, row>> m_tables;
+    using tables = std::map<std::string, std::map<std::string, row>>;
+    tables m_tables;
     std::set<wakeup*> m_polls;
     std::uint64_t m_version = 1;
+    std::uint64_t m_era = 1;
+    tables m_copy;
+    std::uint64_t m_copy_version = 1;
     std::uint64_t m_oldest = 0;
 };
 
